--- /dev/null
+++ b/scripts/check-format.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Checks the formatting of all C++ sources but generated ones.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files '*.cpp' '*.h' | grep -v '/generated/' | xargs -r clang-format --dry-run --Werror
