Add the transport library: HTTP client pool and server

Cause: callers, peers and backend servers are reached over HTTP with bodies streamed both ways. Ruled out: one cpp-httplib thread per open connection (2,000 idle connections would need 2,000 threads); cpp-httplib's content providers for answers (they are pulled after the handler, so each request would need a second thread); a refusal that leaves its body unread on the connection. Change: HttpServer watches idle connections with one thread, refuses ambiguous framing and writes answers directly; HttpClientPool tells whether a byte was sent; FaultSwitch cuts addresses in tests.

--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -12,7 +12,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicTag, duration>;
-  static constexpr bool is_steady = true;
 };
 
 using TimePoint = MonotonicTag::time_point;
--- /dev/null
+++ b/libs/transport/include/transport/HttpExchange.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sycamore::transport {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+// Writes a part of a request body; false when the connection broke.
+using BodyWriter = std::function<bool(std::string_view part)>;
+
+// Pushes a whole request body into the writer; false when the source broke off.
+using BodySource = std::function<bool(const BodyWriter& write)>;
+
+// A request to another process. The body is either held in memory or streamed from a source.
+struct ClientRequest
+{
+  std::string method = "POST";
+  std::string path;
+  HeaderList headers;
+  std::string body;
+  BodySource bodySource;
+  // Length of a streamed body in bytes; absent for a chunked one.
+  std::optional<std::size_t> bodyLength;
+};
+
+// Status and headers of an answer. Header names are in lower case.
+struct ResponseHead
+{
+  int status = 0;
+  HeaderList headers;
+
+  // The first header of this lower-case name, or nothing.
+  std::optional<std::string> header(std::string_view name) const;
+};
+
+// Receives an answer while it arrives, on the thread that called exchange().
+struct ResponseReceiver
+{
+  // Called once. Returning false breaks the exchange off.
+  std::function<bool(const ResponseHead& head)> onHead;
+  // Called for each part of the body. Returning false breaks the exchange off.
+  std::function<bool(std::string_view part)> onBody;
+};
+
+// How an exchange ended.
+enum class ExchangeResult
+{
+  // The whole answer was received.
+  Complete,
+  // No byte of the request was sent.
+  NotSent,
+  // The connection broke after bytes of the request may have reached the other side.
+  Broken,
+  // The deadline passed after bytes of the request may have reached the other side.
+  TimedOut,
+  // The receiver broke the exchange off.
+  Aborted,
+};
+
+// A whole answer held in memory.
+struct BufferedResponse
+{
+  ExchangeResult result = ExchangeResult::NotSent;
+  ResponseHead head;
+  std::string body;
+
+  // A complete answer with a status from 200 to 299.
+  bool ok() const;
+};
+
+} // namespace sycamore::transport
--- /dev/null
+++ b/libs/transport/src/HttpServer.cpp
@@ -0,0 +1,630 @@
+#include <transport/HttpServer.h>
+
+#include "IdleWatcher.h"
+#include "SocketStream.h"
+#include "WorkerPool.h"
+
+#include <transport/TransportError.h>
+
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <httplib.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sycamore::transport {
+
+using base::SteadyClock;
+using base::TimePoint;
+
+namespace {
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusInternalError = 500;
+
+// What the handler of the current worker thread needs beside cpp-httplib's request.
+struct CurrentConnection
+{
+  SocketStream* stream = nullptr;
+  bool closeAfterResponse = false;
+  bool draining = false;
+};
+
+thread_local CurrentConnection* currentConnection = nullptr;
+
+const char* reasonPhrase(int status)
+{
+  switch (status) {
+    case 200:
+      return "OK";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+std::optional<std::size_t> parseLength(const std::string& text)
+{
+  std::size_t length = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), length);
+  if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return length;
+}
+
+// Why the framing of a request can't be trusted, or nothing. Two ends that frame a request
+// differently let one caller's bytes be read as another request.
+std::optional<std::string> findFramingFault(const httplib::Request& request)
+{
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const std::size_t encodings = request.get_header_value_count("Transfer-Encoding");
+  if (lengths > 1 || encodings > 1) {
+    return "more than one body length or transfer encoding";
+  }
+  if (lengths == 1 && encodings == 1) {
+    return "both Content-Length and Transfer-Encoding";
+  }
+  if (lengths == 1 && !parseLength(request.get_header_value("Content-Length"))) {
+    return "Content-Length is not a number";
+  }
+  if (encodings == 1 && request.get_header_value("Transfer-Encoding") != "chunked") {
+    return "unknown Transfer-Encoding";
+  }
+  const bool hasBody =
+    encodings == 1 || (lengths == 1 && request.get_header_value("Content-Length") != "0");
+  if (hasBody && request.method != "POST" && request.method != "PUT" && request.method != "PATCH" &&
+      request.method != "DELETE") {
+    return "a body is not allowed with this method";
+  }
+  return std::nullopt;
+}
+
+class RequestView : public ServerRequest
+{
+public:
+  RequestView(const httplib::Request& request, const httplib::ContentReader* reader)
+    : request_(request)
+    , reader_(reader)
+  {
+    if (reader_ == nullptr) {
+      bodyLength_ = 0;
+    } else if (request_.has_header("Content-Length")) {
+      bodyLength_ = parseLength(request_.get_header_value("Content-Length"));
+    } else if (!request_.has_header("Transfer-Encoding")) {
+      bodyLength_ = 0;
+    }
+  }
+
+  const std::string& method() const override { return request_.method; }
+  const std::string& path() const override { return request_.path; }
+  const std::string& target() const override { return request_.target; }
+
+  std::optional<std::string> header(const std::string& name) const override
+  {
+    if (!request_.has_header(name)) {
+      return std::nullopt;
+    }
+    return request_.get_header_value(name);
+  }
+
+  HeaderList headers() const override
+  {
+    return HeaderList(request_.headers.begin(), request_.headers.end());
+  }
+
+  std::optional<std::string> parameter(const std::string& name) const override
+  {
+    if (!request_.has_param(name)) {
+      return std::nullopt;
+    }
+    return request_.get_param_value(name);
+  }
+
+  std::optional<std::size_t> bodyLength() const override { return bodyLength_; }
+
+  bool readBody(const BodyWriter& receive) override
+  {
+    if (isBodyless()) {
+      bodyRead_ = true;
+      return true;
+    }
+    std::size_t received = 0;
+    const bool whole = (*reader_)([&](const char* data, std::size_t size) {
+      received += size;
+      return receive(std::string_view(data, size));
+    });
+    bodyRead_ = whole && (!bodyLength_ || received == *bodyLength_);
+    return bodyRead_;
+  }
+
+  std::optional<std::string> readBody(std::size_t limit) override
+  {
+    std::string body;
+    const bool whole = readBody([&](std::string_view part) {
+      body.append(part);
+      return body.size() <= limit;
+    });
+    if (!whole) {
+      return std::nullopt;
+    }
+    return body;
+  }
+
+  bool isSenderGone() const override { return currentConnection->stream->isPeerGone(); }
+
+  // Whether bytes of the body are still on the connection.
+  bool hasUnreadBody() const { return !isBodyless() && !bodyRead_; }
+
+private:
+  bool isBodyless() const { return reader_ == nullptr || (bodyLength_ && *bodyLength_ == 0); }
+
+  const httplib::Request& request_;
+  const httplib::ContentReader* reader_;
+  std::optional<std::size_t> bodyLength_;
+  bool bodyRead_ = false;
+};
+
+class ResponseWriter : public ServerResponse
+{
+public:
+  explicit ResponseWriter(httplib::Response& response)
+    : response_(response)
+  {
+  }
+
+  void setHeader(const std::string& name, const std::string& value) override
+  {
+    headers_.emplace_back(name, value);
+  }
+
+  void send(int status, std::string_view body, const std::string& contentType) override
+  {
+    setHeader("Content-Type", contentType);
+    if (begin(status, body.size()) && write(body)) {
+      end();
+    }
+  }
+
+  bool begin(int status, std::optional<std::size_t> length) override
+  {
+    begun_ = true;
+    chunked_ = !length;
+    remaining_ = length.value_or(0);
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    for (const auto& [name, value] : headers_) {
+      head += name + ": " + value + "\r\n";
+    }
+    head += chunked_ ? "Transfer-Encoding: chunked\r\n"
+                     : "Content-Length: " + std::to_string(*length) + "\r\n";
+    if (currentConnection->closeAfterResponse || currentConnection->draining) {
+      head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    // cpp-httplib writes an answer of its own after the handler; it is discarded.
+    response_.status = status;
+    currentConnection->stream->setDiscardWrites(true);
+    // A short answer of known length goes out with its head in one write.
+    pendingHead_ = std::move(head);
+    if (chunked_ || remaining_ > kCoalesceBytes) {
+      return flushHead();
+    }
+    return true;
+  }
+
+  bool write(std::string_view part) override
+  {
+    if (part.empty()) {
+      return true;
+    }
+    if (!chunked_) {
+      if (part.size() > remaining_) {
+        return fail();
+      }
+      remaining_ -= part.size();
+      pendingHead_.append(part);
+      return remaining_ == 0 || pendingHead_.size() > kCoalesceBytes ? flushHead() : true;
+    }
+    char size[24];
+    const int digits = snprintf(size, sizeof(size), "%zx\r\n", part.size());
+    std::string chunk(size, static_cast<std::size_t>(digits));
+    chunk.append(part);
+    chunk.append("\r\n");
+    return currentConnection->stream->writeAll(chunk) || fail();
+  }
+
+  bool end() override
+  {
+    if (failed_ || (!chunked_ && remaining_ != 0)) {
+      return fail();
+    }
+    const bool written = chunked_ ? currentConnection->stream->writeAll("0\r\n\r\n") : flushHead();
+    ended_ = written;
+    return written || fail();
+  }
+
+  bool isBegun() const override { return begun_; }
+
+  void closeConnection() override { currentConnection->closeAfterResponse = true; }
+
+  // Whether the answer is whole.
+  bool isEnded() const { return ended_; }
+
+private:
+  static constexpr std::size_t kCoalesceBytes = 16384;
+
+  bool flushHead()
+  {
+    const std::string pending = std::move(pendingHead_);
+    pendingHead_.clear();
+    return pending.empty() || currentConnection->stream->writeAll(pending) || fail();
+  }
+
+  bool fail()
+  {
+    failed_ = true;
+    currentConnection->closeAfterResponse = true;
+    return false;
+  }
+
+  httplib::Response& response_;
+  HeaderList headers_;
+  std::string pendingHead_;
+  std::size_t remaining_ = 0;
+  bool chunked_ = false;
+  bool begun_ = false;
+  bool failed_ = false;
+  bool ended_ = false;
+};
+
+// Lends the server's pool to cpp-httplib, which deletes its task queue when it stops listening
+// while the watcher may still add tasks.
+class PoolHandle : public httplib::TaskQueue
+{
+public:
+  explicit PoolHandle(WorkerPool& pool)
+    : pool_(pool)
+  {
+  }
+
+  void enqueue(std::function<void()> task) override { pool_.enqueue(std::move(task)); }
+  void shutdown() override { pool_.shutdown(); }
+
+private:
+  WorkerPool& pool_;
+};
+
+} // namespace
+
+class HttpServer::Impl : public httplib::Server
+{
+public:
+  Impl(ServerLimits limits, ServerHandler handler)
+    : limits_(limits)
+    , handler_(std::move(handler))
+    , pool_(limits.maxConcurrent)
+    , watcher_([this](int fd) { onReadable(fd); }, [this](int fd) { closeConnection(fd); })
+  {
+    new_task_queue = [this] { return new PoolHandle(pool_); };
+    const std::string anyPath = R"(.*)";
+    const auto plain = [this](const httplib::Request& request, httplib::Response& response) {
+      handle(request, response, nullptr);
+    };
+    const auto withBody = [this](const httplib::Request& request,
+                                 httplib::Response& response,
+                                 const httplib::ContentReader& reader) {
+      handle(request, response, &reader);
+    };
+    Get(anyPath, plain);
+    Options(anyPath, plain);
+    Post(anyPath, withBody);
+    Put(anyPath, withBody);
+    Patch(anyPath, withBody);
+    Delete(anyPath, withBody);
+    set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
+      return refuseBadFraming(request, response);
+    });
+  }
+
+  HostPort startServing(const HostPort& address)
+  {
+    HostPort bound = address;
+    if (address.port == 0) {
+      bound.port = bind_to_any_port(address.host);
+    } else if (!bind_to_port(address.host, address.port)) {
+      bound.port = -1;
+    }
+    if (bound.port <= 0) {
+      throw TransportError("can't bind " + address.toString());
+    }
+    // cpp-httplib listens with a backlog of 5, which drops connections in a burst.
+    constexpr int kBacklog = 1024;
+    ::listen(svr_sock_, kBacklog);
+    accepting_ = true;
+    thread_ = std::thread([this] {
+      listen_after_bind();
+      std::lock_guard lock(stopMutex_);
+      accepting_ = false;
+      stopped_.notify_all();
+    });
+    return bound;
+  }
+
+  bool stopServing(TimePoint deadline)
+  {
+    draining_ = true;
+    closing_ = true;
+    if (thread_.joinable()) {
+      while (accepting_ && !is_running()) {
+        std::this_thread::yield();
+      }
+      stop();
+      watcher_.expireAll();
+      const bool whole = waitUntilStopped(deadline);
+      if (!whole) {
+        breakConnections();
+      }
+      thread_.join();
+      watcher_.stop();
+      watcher_.expireAll();
+      return whole;
+    }
+    return true;
+  }
+
+  std::atomic<bool> draining_{ false };
+  std::atomic<std::size_t> inFlight_{ 0 };
+  std::atomic<std::size_t> connections_{ 0 };
+
+  ~Impl() override
+  {
+    stopServing(SteadyClock().now());
+    for (const auto& [fd, connection] : open_) {
+      ::close(fd);
+    }
+  }
+
+private:
+  struct Connection
+  {
+    std::unique_ptr<SocketStream> stream;
+  };
+
+  bool waitUntilStopped(TimePoint deadline)
+  {
+    std::unique_lock lock(stopMutex_);
+    while (accepting_) {
+      const auto remaining = deadline - SteadyClock().now();
+      if (remaining <= base::Duration::zero()) {
+        return false;
+      }
+      stopped_.wait_for(lock, remaining);
+    }
+    return true;
+  }
+
+  void breakConnections()
+  {
+    std::lock_guard lock(connectionsMutex_);
+    for (const auto& [fd, connection] : open_) {
+      ::shutdown(fd, SHUT_RDWR);
+    }
+  }
+
+  // Called by cpp-httplib on a worker for each accepted connection.
+  bool process_and_close_socket(socket_t fd) override
+  {
+    constexpr int kOn = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
+    if (++connections_ > limits_.maxConnections) {
+      --connections_;
+      ::close(fd);
+      return false;
+    }
+    auto stream = std::make_unique<SocketStream>(fd, limits_.ioTimeout);
+    {
+      std::lock_guard lock(connectionsMutex_);
+      open_[fd] = Connection{ std::move(stream) };
+    }
+    park(fd);
+    return true;
+  }
+
+  void park(int fd)
+  {
+    if (closing_) {
+      closeConnection(fd);
+      return;
+    }
+    watcher_.watch(fd, SteadyClock().now() + limits_.keepAliveTimeout);
+  }
+
+  void onReadable(int fd)
+  {
+    pool_.enqueue([this, fd] { serve(fd); });
+  }
+
+  SocketStream* streamOf(int fd)
+  {
+    std::lock_guard lock(connectionsMutex_);
+    const auto found = open_.find(fd);
+    return found == open_.end() ? nullptr : found->second.stream.get();
+  }
+
+  void closeConnection(int fd)
+  {
+    std::unique_ptr<SocketStream> stream;
+    {
+      std::lock_guard lock(connectionsMutex_);
+      const auto found = open_.find(fd);
+      if (found == open_.end()) {
+        return;
+      }
+      stream = std::move(found->second.stream);
+      open_.erase(found);
+    }
+    --connections_;
+    ::shutdown(fd, SHUT_WR);
+    discardInput(fd);
+    ::close(fd);
+  }
+
+  // Closing a socket with unread input resets the connection, and the reset can overtake the
+  // answer. Bounded, since the other side may go on sending.
+  static void discardInput(int fd)
+  {
+    constexpr int kMaxReads = 64;
+    std::array<char, 16384> discarded;
+    for (int i = 0; i < kMaxReads; ++i) {
+      if (recv(fd, discarded.data(), discarded.size(), MSG_DONTWAIT) <= 0) {
+        return;
+      }
+    }
+  }
+
+  // Serves the requests that have arrived on a connection, then watches it for the next.
+  void serve(int fd)
+  {
+    SocketStream* stream = streamOf(fd);
+    if (stream == nullptr) {
+      return;
+    }
+    bool keep = true;
+    do {
+      keep = serveOne(*stream);
+    } while (keep && stream->hasBufferedInput());
+    if (keep) {
+      park(fd);
+    } else {
+      closeConnection(fd);
+    }
+  }
+
+  bool serveOne(SocketStream& stream)
+  {
+    CurrentConnection current;
+    current.stream = &stream;
+    current.draining = draining_;
+    currentConnection = &current;
+    stream.setHeadDeadline(SteadyClock().now() + limits_.headTimeout);
+    bool closedByRequest = false;
+    // A head that can't be parsed leaves the position in the stream unknown.
+    bool headParsed = false;
+    const bool processed =
+      process_request(stream, current.draining, closedByRequest, [&](httplib::Request&) {
+        stream.clearHeadDeadline();
+        headParsed = true;
+      });
+    stream.setDiscardWrites(false);
+    currentConnection = nullptr;
+    if (!headParsed && stream.isHeadTooLarge()) {
+      stream.writeAll("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
+                      "Connection: close\r\n\r\n");
+    }
+    return processed && headParsed && !closedByRequest && !current.closeAfterResponse &&
+           !current.draining;
+  }
+
+  HandlerResponse refuseBadFraming(const httplib::Request& request, httplib::Response& response)
+  {
+    const auto fault = findFramingFault(request);
+    if (!fault) {
+      return HandlerResponse::Unhandled;
+    }
+    ResponseWriter writer(response);
+    writer.closeConnection();
+    writer.send(kStatusBadRequest, *fault + "\n", "text/plain");
+    return HandlerResponse::Handled;
+  }
+
+  void handle(const httplib::Request& request,
+              httplib::Response& response,
+              const httplib::ContentReader* reader)
+  {
+    ++inFlight_;
+    RequestView view(request, reader);
+    ResponseWriter writer(response);
+    try {
+      handler_(view, writer);
+    } catch (const std::exception& error) {
+      if (!writer.isBegun()) {
+        writer.closeConnection();
+        writer.send(kStatusInternalError, std::string(error.what()) + "\n", "text/plain");
+      }
+    }
+    if (!writer.isEnded() || view.hasUnreadBody()) {
+      // The rest of the body would be read as the next request, and a part of an answer would be
+      // taken for the whole.
+      currentConnection->closeAfterResponse = true;
+    }
+    --inFlight_;
+  }
+
+  const ServerLimits limits_;
+  const ServerHandler handler_;
+  WorkerPool pool_;
+  std::mutex connectionsMutex_;
+  std::unordered_map<int, Connection> open_;
+  std::atomic<bool> closing_{ false };
+  std::atomic<bool> accepting_{ false };
+  std::mutex stopMutex_;
+  std::condition_variable stopped_;
+  IdleWatcher watcher_;
+  std::thread thread_;
+};
+
+HttpServer::HttpServer(ServerLimits limits, ServerHandler handler)
+  : impl_(std::make_unique<Impl>(limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+HostPort HttpServer::start(const HostPort& address)
+{
+  return impl_->startServing(address);
+}
+
+void HttpServer::beginDrain()
+{
+  impl_->draining_ = true;
+}
+
+std::size_t HttpServer::inFlight() const
+{
+  return impl_->inFlight_;
+}
+
+std::size_t HttpServer::openConnections() const
+{
+  return impl_->connections_;
+}
+
+bool HttpServer::stop(TimePoint deadline)
+{
+  return impl_->stopServing(deadline);
+}
+
+} // namespace sycamore::transport
--- /dev/null
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -0,0 +1,299 @@
+#include <base/Time.h>
+#include <doctest/doctest.h>
+#include <transport/HttpClientPool.h>
+#include <transport/HttpServer.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace sycamore;
+using namespace sycamore::transport;
+
+namespace {
+
+base::TimePoint inSeconds(int seconds)
+{
+  return base::SteadyClock().now() + std::chrono::seconds(seconds);
+}
+
+// A raw client connection, for bytes that a well-behaved client never sends.
+class RawConnection
+{
+public:
+  explicit RawConnection(int port)
+    : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    timeval timeout{ 10, 0 };
+    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    REQUIRE(::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  }
+
+  ~RawConnection() { ::close(fd_); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void send(const std::string& bytes) { ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+
+  // Reads until the other side closes.
+  std::string readAll()
+  {
+    std::string all;
+    char buffer[4096];
+    for (ssize_t n = 0; (n = ::recv(fd_, buffer, sizeof(buffer), 0)) > 0;) {
+      all.append(buffer, static_cast<std::size_t>(n));
+    }
+    return all;
+  }
+
+private:
+  int fd_;
+};
+
+std::size_t countOf(const std::string& text, const std::string& part)
+{
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+struct Fixture
+{
+  explicit Fixture(ServerHandler handler, ServerLimits limits = {})
+    : server(limits, std::move(handler))
+    , bound(server.start({ "127.0.0.1", 0 }))
+  {
+  }
+
+  BufferedResponse post(const std::string& path, std::string body)
+  {
+    ClientRequest request;
+    request.path = path;
+    request.body = std::move(body);
+    return pool.fetch(bound.toString(), request, inSeconds(10));
+  }
+
+  FaultSwitch faults;
+  HttpClientPool pool{ {}, faults };
+  HttpServer server;
+  HostPort bound;
+};
+
+void echo(ServerRequest& request, ServerResponse& response)
+{
+  const auto body = request.readBody(std::size_t(1) << 20);
+  response.send(200, body.value_or("broken"), "text/plain");
+}
+
+} // namespace
+
+// Guards against answers that lose or mix bodies on a kept-alive connection.
+TEST_CASE("each request on a connection gets its own whole answer")
+{
+  Fixture fixture(echo);
+  for (int i = 0; i < 200; ++i) {
+    const std::string body = std::string(static_cast<std::size_t>(i) * 37, 'x') + std::to_string(i);
+    const auto response = fixture.post("/echo", body);
+    REQUIRE(response.ok());
+    CHECK(response.body == body);
+  }
+}
+
+// Guards against an upload or a download that is held in memory or cut short.
+TEST_CASE("bodies stream both ways")
+{
+  constexpr std::size_t kPart = 65536;
+  constexpr std::size_t kParts = 320;
+  Fixture fixture([](ServerRequest& request, ServerResponse& response) {
+    std::size_t received = 0;
+    request.readBody([&](std::string_view part) {
+      received += part.size();
+      return true;
+    });
+    response.begin(200, std::nullopt);
+    const std::string part(kPart, 'r');
+    for (std::size_t sent = 0; sent < received; sent += kPart) {
+      response.write(part);
+    }
+    response.end();
+  });
+  for (const bool chunked : { false, true }) {
+    ClientRequest request;
+    request.path = "/stream";
+    request.bodySource = [](const BodyWriter& write) {
+      const std::string part(kPart, 's');
+      for (std::size_t i = 0; i < kParts; ++i) {
+        if (!write(part)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    if (!chunked) {
+      request.bodyLength = kPart * kParts;
+    }
+    std::size_t received = 0;
+    ResponseReceiver receiver{ [](const ResponseHead&) { return true; },
+                               [&](std::string_view part) {
+                                 received += part.size();
+                                 return true;
+                               } };
+    const auto result =
+      fixture.pool.exchange(fixture.bound.toString(), request, receiver, inSeconds(20));
+    CHECK(result == ExchangeResult::Complete);
+    CHECK(received == kPart * kParts);
+  }
+}
+
+// Guards against a short answer that is taken for the whole.
+TEST_CASE("an answer that is broken off is not complete")
+{
+  for (const bool chunked : { false, true }) {
+    Fixture fixture([chunked](ServerRequest&, ServerResponse& response) {
+      response.begin(200, chunked ? std::nullopt : std::optional<std::size_t>(1000));
+      response.write("only a part");
+    });
+    CHECK(fixture.post("/", "").result == ExchangeResult::Broken);
+  }
+}
+
+// Guards against request smuggling: bytes of one request that are read as another.
+TEST_CASE("requests with ambiguous framing are refused and the connection is closed")
+{
+  std::atomic<int> handled{ 0 };
+  Fixture fixture([&](ServerRequest& request, ServerResponse& response) {
+    ++handled;
+    echo(request, response);
+  });
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::vector<std::string> heads = {
+    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost: a\r\nContent-Length: 38\r\n\r\n",
+    "nonsense\r\n\r\n",
+  };
+  for (const auto& head : heads) {
+    RawConnection connection(fixture.bound.port);
+    connection.send(head + smuggled);
+    const std::string answer = connection.readAll();
+    CHECK_MESSAGE(countOf(answer, "HTTP/1.1") == 1, head);
+    CHECK(answer.starts_with("HTTP/1.1 4"));
+  }
+  CHECK(handled == 0);
+}
+
+// Guards against a refusal that leaves its body on the connection as the next request.
+TEST_CASE("an unread body is never read as the next request")
+{
+  Fixture fixture(
+    [](ServerRequest&, ServerResponse& response) { response.send(503, "refused", "text/plain"); });
+  RawConnection connection(fixture.bound.port);
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+  connection.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                  std::to_string(smuggled.size()) + "\r\n\r\n" + smuggled);
+  CHECK(countOf(connection.readAll(), "HTTP/1.1") == 1);
+}
+
+// Guards against unbounded memory for a request head.
+TEST_CASE("an oversized head is refused with 431")
+{
+  Fixture fixture(echo);
+  RawConnection connection(fixture.bound.port);
+  connection.send("GET /" + std::string(100000, 'a') + " HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(connection.readAll().starts_with("HTTP/1.1 431"));
+}
+
+// Guards against idle connections that hold all workers.
+TEST_CASE("idle connections hold no worker")
+{
+  ServerLimits limits;
+  limits.maxConcurrent = 2;
+  Fixture fixture(echo, limits);
+  std::vector<std::unique_ptr<RawConnection>> idle;
+  for (int i = 0; i < 100; ++i) {
+    idle.push_back(std::make_unique<RawConnection>(fixture.bound.port));
+  }
+  CHECK(fixture.post("/echo", "served").body == "served");
+}
+
+// Guards against a graceful stop that cuts off a running request.
+TEST_CASE("a stop waits for the request in flight")
+{
+  std::atomic<bool> entered{ false };
+  Fixture fixture([&](ServerRequest& request, ServerResponse& response) {
+    entered = true;
+    const auto until = base::SteadyClock().now() + std::chrono::milliseconds(200);
+    while (base::SteadyClock().now() < until) {
+      std::this_thread::yield();
+    }
+    echo(request, response);
+  });
+  BufferedResponse response;
+  std::thread caller([&] { response = fixture.post("/echo", "slow"); });
+  const auto limit = inSeconds(10);
+  while (!entered && base::SteadyClock().now() < limit) {
+    std::this_thread::yield();
+  }
+  CHECK(fixture.server.stop(inSeconds(10)));
+  caller.join();
+  CHECK(response.body == "slow");
+}
+
+// Guards against work that is reported as sent though the address can't be reached.
+TEST_CASE("a request to a cut or closed address is not sent")
+{
+  Fixture fixture(echo);
+  fixture.faults.setUnreachable({ fixture.bound.toString() });
+  CHECK(fixture.post("/echo", "x").result == ExchangeResult::NotSent);
+  fixture.faults.setUnreachable({});
+  CHECK(fixture.post("/echo", "x").ok());
+  CHECK(fixture.server.stop(inSeconds(10)));
+  const auto afterStop = fixture.post("/echo", "x").result;
+  CHECK(afterStop != ExchangeResult::Complete);
+}
+
+// Guards against a caller that waits for ever on a connection that swallows bytes.
+TEST_CASE("a silent server is noticed at the deadline and cancellation ends an exchange")
+{
+  std::atomic<bool> release{ false };
+  Fixture fixture([&](ServerRequest& request, ServerResponse& response) {
+    while (!release) {
+      std::this_thread::yield();
+    }
+    echo(request, response);
+  });
+  ClientRequest request;
+  request.path = "/silent";
+  CHECK(fixture.pool
+          .fetch(fixture.bound.toString(),
+                 request,
+                 base::SteadyClock().now() + std::chrono::milliseconds(100))
+          .result == ExchangeResult::TimedOut);
+
+  CancelHandle cancel;
+  ExchangeResult result = ExchangeResult::Complete;
+  ResponseReceiver receiver{ [](const ResponseHead&) { return true; },
+                             [](std::string_view) { return true; } };
+  std::thread caller([&] {
+    result =
+      fixture.pool.exchange(fixture.bound.toString(), request, receiver, inSeconds(10), &cancel);
+  });
+  while (fixture.server.inFlight() < 2) {
+    std::this_thread::yield();
+  }
+  cancel.cancel();
+  caller.join();
+  CHECK(result == ExchangeResult::Broken);
+  release = true;
+}
