--- /dev/null
+++ b/libs/control/include/control/OwnershipController.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <configuration/ConfigSnapshot.h>
+#include <control/ControlContext.h>
+#include <control/PeerMessages.h>
+#include <ownership/LeaseTimings.h>
+#include <ownership/PermitTable.h>
+#include <ownership/Tenancy.h>
+#include <ownership/Voter.h>
+#include <placement/ShardMap.h>
+#include <router/DispatcherTable.h>
+#include <router/QuarantineBoard.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sycamore::control {
+
+// What the ownership controller needs of the other parts of the control state.
+class OwnershipEvents
+{
+public:
+  virtual ~OwnershipEvents() = default;
+
+  // A holder asks for a write of the map of its service.
+  virtual void writeMap(const base::ServiceId& service,
+                        const base::ServerId& server,
+                        const ownership::WriteMap& change) = 0;
+  // Voters need a newer map, or one written anew.
+  virtual void bumpMap(const base::ServiceId& service, base::Generation base) = 0;
+  // The result of a change of the map is known.
+  virtual void changeResolved(const base::ServerId& server) = 0;
+  // Peers should hear of a change of the held tenancies at once.
+  virtual void holdersChanged() = 0;
+};
+
+// What is known of the holder of one server's tenancy.
+struct KnownHolder
+{
+  base::VmId holder;
+  base::Term term;
+  ownership::TenancyKind kind = ownership::TenancyKind::Active;
+  base::TimePoint heardAt;
+  bool draining = false;
+};
+
+// Runs the votes, tenancies, grants and permits of this VM. Used on the control thread only.
+class OwnershipController
+{
+public:
+  OwnershipController(ControlContext& context,
+                      OwnershipEvents& events,
+                      ownership::LeaseTimings timings,
+                      router::DispatcherTable& dispatchers,
+                      router::QuarantineBoard& quarantine);
+  ~OwnershipController();
+
+  // Time passes; called every 20 ms.
+  void tick();
+
+  // A new generation of a service's map, or a new configuration of the service.
+  void onMap(std::shared_ptr<const placement::ShardMap> map,
+             const configuration::ServiceConfig& config);
+  // A service is gone.
+  void dropService(const base::ServiceId& service);
+  // This VM's write of this generation, asked for by bumpMap, is confirmed.
+  void onBumpWritten(const base::ServiceId& service, base::Generation generation);
+
+  // Messages of peers.
+  VoteBatchReply answerVotes(const VoteBatch& batch);
+  std::vector<ownership::Permit> answerPermits(const PermitQuery& query) const;
+  void onHeartbeat(const Heartbeat& heartbeat);
+
+  // Starts to move shards off a server whose tenancy this VM holds. False when it can't now.
+  bool startMove(const base::ServerId& server, const ownership::ShardSet& shards);
+  bool startVoterChange(const base::ServerId& server, std::vector<base::VmId> voters);
+
+  // Gives all tenancies up, when this VM leaves.
+  void resignAll();
+  bool holdsAny() const;
+
+  std::vector<HeldTenancy> held() const;
+  // Holders of all servers as far as known here.
+  const std::map<base::ServerId, KnownHolder>& holders() const { return holders_; }
+  bool isEvicted(const base::ServerId& server) const;
+  // Whether the server said to its holder that it takes no new work.
+  bool isDraining(const base::ServerId& server) const;
+  std::optional<ownership::TenancyRole> roleOf(const base::ServerId& server) const;
+
+private:
+  struct Managed;
+  struct ServiceShards;
+
+  void perform(Managed& managed, const ownership::TenancyActions& actions);
+  void act(Managed& managed, const ownership::SendVote& action);
+  void act(Managed& managed, const ownership::SendGrant& action);
+  void act(Managed& managed, const ownership::SendRelease& action);
+  void act(Managed& managed, const ownership::BecameHolder& action);
+  void act(Managed& managed, const ownership::LostTenancy& action);
+  void act(Managed& managed, const ownership::Evicted& action);
+  void act(Managed& managed, const ownership::WriteMap& action);
+  void act(Managed& managed, const ownership::WriteBump& action);
+  void act(Managed& managed, const ownership::ChangeResolved& action);
+
+  void flushVotes();
+  void sendVotes(const base::VmId& to, VoteBatch batch);
+  void onVoteReplies(const VoteBatchReply& reply);
+  void onGrantAnswer(const base::ServerId& server,
+                     const ownership::GrantRequest& sent,
+                     const transport::BufferedResponse& response);
+  void onReleaseAnswer(const base::ServerId& server,
+                       const ownership::ReleaseRequest& sent,
+                       const transport::BufferedResponse& response);
+  void noteServer(Managed& managed, base::Incarnation incarnation, const std::string& state);
+  void noteCrash(Managed& managed, base::Incarnation incarnation);
+  void updateGrantView(Managed& managed, const ownership::GrantRequest& granted);
+  void askPermits();
+  void askPermitsOf(const base::VmId& evictor, const std::vector<base::ServerId>& servers);
+  ownership::ShardSet permittedFor(const Managed& managed) const;
+  void noteHolder(const base::ServerId& server, const KnownHolder& holder);
+  Managed* find(const base::ServerId& server) const;
+
+  ControlContext& context_;
+  OwnershipEvents& events_;
+  const ownership::LeaseTimings timings_;
+  router::DispatcherTable& dispatchers_;
+  router::QuarantineBoard& quarantine_;
+  ownership::Voter voter_;
+  ownership::PermitTable permits_;
+  std::map<base::ServerId, std::unique_ptr<Managed>> managed_;
+  std::map<base::ServiceId, std::unique_ptr<ServiceShards>> services_;
+  std::map<base::ServerId, KnownHolder> holders_;
+  std::map<base::VmId, VoteBatch> outgoing_;
+  std::set<base::ServerId> draining_;
+  base::TimePoint nextPermits_;
+};
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/include/control/PeerMessages.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <ownership/LearnReply.h>
+#include <ownership/LearnRequest.h>
+#include <ownership/Permit.h>
+#include <ownership/TenancyKind.h>
+#include <ownership/VoteReply.h>
+#include <ownership/VoteRequest.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sycamore::control {
+
+// A tenancy that the sender of a heartbeat holds.
+struct HeldTenancy
+{
+  base::ServerId server;
+  base::ServiceId service;
+  base::Term term;
+  ownership::TenancyKind kind = ownership::TenancyKind::Active;
+  // The server says that it takes no new work.
+  bool draining = false;
+};
+
+// Body of /peer/heartbeat, and of its answer.
+struct Heartbeat
+{
+  base::VmId from;
+  base::Incarnation incarnation;
+  std::string peerAddress;
+  base::DomainId domain;
+  bool leaving = false;
+  std::vector<HeldTenancy> held;
+  std::string configDigest;
+  std::map<base::ServiceId, base::Generation> maps;
+  std::uint64_t quarantineDigest = 0;
+};
+
+// Body of /peer/vote: all requests of one VM to another.
+struct VoteBatch
+{
+  base::VmId from;
+  std::vector<ownership::VoteRequest> requests;
+  std::vector<ownership::LearnRequest> learn;
+
+  bool empty() const { return requests.empty() && learn.empty(); }
+};
+
+// Answer to a VoteBatch.
+struct VoteBatchReply
+{
+  std::vector<ownership::VoteReply> replies;
+  std::vector<ownership::LearnReply> learned;
+};
+
+// Body of /peer/permit: the servers held by the sender that could inherit shards.
+struct PermitQuery
+{
+  base::VmId from;
+  std::vector<base::ServerId> servers;
+};
+
+// One planned move of a shard, as the planner asks the holder of its server for it.
+struct MoveOrder
+{
+  base::ShardId shard;
+  base::ServerId to;
+  // Empty for none.
+  base::ServerId successor;
+};
+
+// Body of /peer/move: changes of a server's shards or voters that only its holder may write.
+struct ChangeOrder
+{
+  base::ServiceId service;
+  base::ServerId server;
+  base::Generation generation;
+  std::vector<MoveOrder> moves;
+  // Not empty: change the voters instead.
+  std::vector<base::VmId> voters;
+};
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/src/ManagedServer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <configuration/ServiceConfig.h>
+#include <control/OwnershipController.h>
+
+namespace sycamore::control {
+
+// One backend server that this VM is a voter of.
+struct OwnershipController::Managed
+{
+  Managed(ownership::HolderId self,
+          const ownership::LeaseTimings& timings,
+          const ownership::ServerRow& row,
+          base::TimePoint now)
+    : tenancy(self, timings, row, now)
+  {
+  }
+
+  base::ServerId server;
+  base::ServiceId service;
+  std::string address;
+  base::DomainId domain;
+  configuration::ServiceConfig config;
+  ownership::Tenancy tenancy;
+  // Set while this VM holds the tenancy.
+  std::shared_ptr<router::ServerDispatcher> dispatcher;
+  unsigned grantsInFlight = 0;
+  bool releaseInFlight = false;
+  // Run of the server that answered last.
+  std::optional<base::Incarnation> incarnation;
+  // The shards of the grant that was accepted last.
+  ownership::ShardSet accepted;
+};
+
+// The shards of each server of one service's map; the view against which permits are checked.
+struct OwnershipController::ServiceShards
+{
+  std::shared_ptr<const placement::ShardMap> map;
+  std::map<base::ServerId, ownership::ShardSet> owned;
+
+  base::Generation generation() const { return map->generation(); }
+
+  const ownership::ShardSet& ownedBy(const base::ServerId& server) const
+  {
+    static const ownership::ShardSet kNone;
+    const auto found = owned.find(server);
+    return found == owned.end() ? kNone : found->second;
+  }
+};
+
+// What a map says about one server, in the form that tenancies use.
+ownership::ServerRow rowOf(const placement::ShardMap& map, const base::ServerId& server);
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/src/MapController.cpp
@@ -0,0 +1,582 @@
+#include <control/MapController.h>
+
+#include <control/ControlError.h>
+
+#include <placement/Failover.h>
+#include <placement/PlacementPlanner.h>
+#include <placement/PlanApplication.h>
+#include <placement/PlannerElection.h>
+#include <placement/Roster.h>
+#include <placement/ShardMapBuilder.h>
+#include <placement/ShardMapCodec.h>
+#include <placement/VoterChoice.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace sycamore::control {
+
+using base::Generation;
+using base::ServerId;
+using base::ServiceId;
+using base::TimePoint;
+using base::Version;
+using nlohmann::json;
+using ownership::ChangeKind;
+
+namespace {
+
+constexpr base::milliseconds kPlanInterval{ 250 };
+constexpr base::milliseconds kPlatformTimeout{ 1000 };
+// A write that failed is repeated after this time.
+constexpr base::milliseconds kRepeatInterval{ 50 };
+// A voter that is silent for less than this is probably restarting, and stays.
+constexpr std::chrono::seconds kVoterPatience{ 10 };
+// Voters that the platform's list has lacked for this long are replaced without their majority.
+constexpr std::chrono::seconds kForcedVoterChange{ 30 };
+constexpr int kConflict = 409;
+constexpr int kNotFound = 404;
+
+placement::VoterMode voterMode(const configuration::ServiceConfig& config)
+{
+  return config.votes == configuration::VoteMode::Move ? placement::VoterMode::Move
+                                                       : placement::VoterMode::Hold;
+}
+
+} // namespace
+
+struct MapController::ServiceState
+{
+  explicit ServiceState(const configuration::ServiceConfig& serviceConfig)
+    : config(serviceConfig)
+    , loads(serviceConfig.shards)
+  {
+  }
+
+  configuration::ServiceConfig config;
+  std::shared_ptr<const placement::ShardMap> map;
+  Version version;
+  placement::OwnershipHistory history;
+  placement::ShardLoads loads;
+  // Writes that holders on this VM want, by server.
+  std::map<ServerId, ownership::WriteMap> wanted;
+  // The moves behind wanted writes of kind Move.
+  std::map<ServerId, std::vector<placement::Move>> planned;
+  std::optional<Generation> bumpAbove;
+  bool writing = false;
+  TimePoint writeAt;
+  TimePoint planAt;
+};
+
+MapController::MapController(ControlContext& context, MapEvents& events)
+  : context_(context)
+  , events_(events)
+  , config_(std::make_shared<const configuration::ConfigSnapshot>())
+  , random_(std::random_device{}())
+{
+}
+
+MapController::~MapController() = default;
+
+MapController::ServiceState* MapController::findState(const ServiceId& service) const
+{
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second.get();
+}
+
+MapController::ServiceState& MapController::stateOf(const ServiceId& service)
+{
+  auto& state = services_[service];
+  if (!state) {
+    configuration::ServiceConfig unknown;
+    unknown.service = service;
+    state = std::make_unique<ServiceState>(unknown);
+  }
+  return *state;
+}
+
+void MapController::setConfig(std::shared_ptr<const configuration::ConfigSnapshot> config)
+{
+  config_ = std::move(config);
+  for (const auto& [service, serviceConfig] : config_->services) {
+    ServiceState& state = stateOf(service);
+    if (state.config.shards != serviceConfig.shards) {
+      state.loads = placement::ShardLoads(serviceConfig.shards);
+    }
+    state.config = serviceConfig;
+  }
+}
+
+void MapController::tick(bool platformReachable)
+{
+  if (!platformReachable) {
+    return;
+  }
+  const TimePoint now = context_.now();
+  for (const auto& [service, state] : services_) {
+    if (state->writing || now < state->writeAt) {
+      continue;
+    }
+    continueWrites(*state);
+    if (!state->writing && now >= state->planAt) {
+      state->planAt = now + kPlanInterval;
+      planService(*state);
+    }
+  }
+}
+
+bool MapController::adopt(const ServiceId& service, const std::string& value, Version version)
+{
+  std::optional<placement::ShardMap> map;
+  try {
+    map = placement::shardMapFromJson(json::parse(value));
+  } catch (const std::exception& error) {
+    throw ControlError("malformed shard map of " + service.value() + ": " + error.what());
+  }
+  ServiceState& state = stateOf(service);
+  if (state.map && map->generation() <= state.map->generation()) {
+    state.version = std::max(state.version, version);
+    return false;
+  }
+  install(state, std::move(*map), version);
+  return true;
+}
+
+void MapController::noteListedAll()
+{
+  listedAll_ = true;
+}
+
+void MapController::install(ServiceState& state, placement::ShardMap map, Version version)
+{
+  auto installed = std::make_shared<const placement::ShardMap>(std::move(map));
+  if (state.map) {
+    state.history.observe(*state.map, *installed, context_.now());
+  }
+  state.map = installed;
+  state.version = std::max(state.version, version);
+  ++context_.counters.mapsAdopted;
+  std::erase_if(state.wanted,
+                [&](const auto& entry) { return entry.second.base < installed->generation(); });
+  if (state.bumpAbove && *state.bumpAbove < installed->generation()) {
+    state.bumpAbove.reset();
+  }
+  events_.mapAdopted(installed->service());
+}
+
+void MapController::writeFor(const ServiceId& service,
+                             const ServerId& server,
+                             const ownership::WriteMap& change)
+{
+  stateOf(service).wanted[server] = change;
+}
+
+void MapController::bump(const ServiceId& service, Generation base)
+{
+  ServiceState& state = stateOf(service);
+  if (!state.map || state.map->generation() <= base) {
+    state.bumpAbove = base;
+  }
+}
+
+void MapController::changeResolved(const ServerId& server)
+{
+  for (const auto& [service, state] : services_) {
+    state->wanted.erase(server);
+    state->planned.erase(server);
+  }
+}
+
+std::optional<ownership::ShardSet> MapController::acceptMoves(const ChangeOrder& order)
+{
+  ServiceState* state = findState(order.service);
+  if (state == nullptr || !state->map || state->map->generation() != order.generation ||
+      state->planned.contains(order.server)) {
+    return std::nullopt;
+  }
+  std::vector<placement::Move> moves;
+  ownership::ShardSet shards;
+  for (const MoveOrder& move : order.moves) {
+    const bool valid =
+      state->map->contains(move.shard) && state->map->owner(move.shard) == order.server;
+    if (!valid) {
+      return std::nullopt;
+    }
+    placement::Move planned;
+    planned.shard = move.shard;
+    planned.from = order.server;
+    planned.to = move.to;
+    if (!move.successor.value().empty()) {
+      planned.successor = move.successor;
+    }
+    moves.push_back(planned);
+    shards.insert(move.shard);
+  }
+  state->planned[order.server] = std::move(moves);
+  return shards;
+}
+
+std::optional<StoredMap> MapController::find(const ServiceId& service) const
+{
+  const ServiceState* state = findState(service);
+  if (state == nullptr || !state->map) {
+    return std::nullopt;
+  }
+  return StoredMap{ state->map, state->version };
+}
+
+std::map<ServiceId, Generation> MapController::generations() const
+{
+  std::map<ServiceId, Generation> all;
+  for (const auto& [service, state] : services_) {
+    if (state->map) {
+      all[service] = state->map->generation();
+    }
+  }
+  return all;
+}
+
+const placement::OwnershipHistory* MapController::historyOf(const ServiceId& service) const
+{
+  const ServiceState* state = findState(service);
+  return state == nullptr ? nullptr : &state->history;
+}
+
+void MapController::observeLoad(const ServiceId& service,
+                                base::ShardId shard,
+                                double requestsPerSecond)
+{
+  if (ServiceState* state = findState(service)) {
+    state->loads.observe(shard, requestsPerSecond, context_.now());
+  }
+}
+
+std::vector<placement::ServerView> MapController::serverViews(const ServiceState& state) const
+{
+  std::vector<placement::ServerView> views;
+  for (const auto& [id, listed] : context_.members.servers()) {
+    if (listed.service != state.config.service) {
+      continue;
+    }
+    placement::ServerView view;
+    view.id = id;
+    view.address = listed.address;
+    view.domain = listed.domain;
+    if (events_.isEvicted(id)) {
+      view.state = placement::ServerState::Lost;
+    } else if (listed.state == membership::ListedState::Leaving || events_.isDraining(id)) {
+      view.state = placement::ServerState::Leaving;
+    }
+    views.push_back(view);
+  }
+  return views;
+}
+
+std::vector<placement::EntryVm> MapController::entryVms() const
+{
+  const TimePoint now = context_.now();
+  std::vector<placement::EntryVm> all;
+  all.push_back({ context_.self.vm, context_.domain, !context_.members.isSelfLeaving() });
+  for (const membership::Peer& peer : context_.members.peers()) {
+    const bool recent = now - peer.lastHeard < kVoterPatience;
+    const bool live = !peer.leaving && (recent || context_.members.isAlive(peer.id, now));
+    all.push_back({ peer.id, peer.domain, live });
+  }
+  return all;
+}
+
+std::vector<base::DomainId> MapController::domainsOut() const
+{
+  std::vector<base::DomainId> out;
+  for (const auto& [domain, config] : config_->domains) {
+    if (!config.inService) {
+      out.push_back(domain);
+    }
+  }
+  return out;
+}
+
+std::optional<placement::ShardMap> MapController::changedMap(
+  const ServiceState& state,
+  const ServerId& server,
+  const ownership::WriteMap& change) const
+{
+  const std::string writer = const_cast<MapController*>(this)->writerToken();
+  const placement::ShardMap& map = *state.map;
+  if (change.kind == ChangeKind::Voters) {
+    placement::ServerEntry entry = *map.find(server);
+    entry.voters = change.voters;
+    placement::ShardMapBuilder builder(map);
+    builder.setServer(server, entry)
+      .setGeneration(Generation(map.generation().value() + 1))
+      .setWriter(writer);
+    return builder.build();
+  }
+  if (change.kind == ChangeKind::Failover) {
+    const auto views = serverViews(state);
+    const auto out = domainsOut();
+    const auto plan = placement::planFailover(map, server, views, out);
+    return placement::applyPlan(map, plan, writer);
+  }
+  const auto planned = state.planned.find(server);
+  if (planned == state.planned.end()) {
+    return std::nullopt;
+  }
+  placement::Plan plan;
+  for (const placement::Move& move : planned->second) {
+    if (change.shards.contains(move.shard)) {
+      plan.moves.push_back(move);
+    }
+  }
+  return placement::applyPlan(map, plan, writer);
+}
+
+void MapController::continueWrites(ServiceState& state)
+{
+  if (state.bumpAbove) {
+    readBack(state, true);
+    return;
+  }
+  if (!state.map) {
+    return;
+  }
+  for (auto it = state.wanted.begin(); it != state.wanted.end(); ++it) {
+    if (it->second.base != state.map->generation() || state.map->find(it->first) == nullptr) {
+      continue;
+    }
+    try {
+      if (auto changed = changedMap(state, it->first, it->second)) {
+        write(state, std::move(*changed), false);
+        return;
+      }
+    } catch (const base::Error& error) {
+      context_.log("can't apply a change of the map of " + state.config.service.value() + ": " +
+                   error.what());
+      state.writeAt = context_.now() + kPlanInterval;
+      return;
+    }
+  }
+}
+
+void MapController::write(ServiceState& state, placement::ShardMap map, bool isBump)
+{
+  state.writing = true;
+  ++context_.counters.mapWrites;
+  ++context_.counters.platformCalls;
+  auto written = std::make_shared<placement::ShardMap>(std::move(map));
+  transport::ClientRequest request;
+  request.method = "PUT";
+  request.path = "/objects/shardmap/" + state.config.service.value() +
+                 "?if_version=" + std::to_string(state.version.value());
+  request.body = placement::toJson(*written).dump();
+  request.headers.emplace_back("Content-Type", "application/json");
+  context_.io.send(context_.platformAddress,
+                   std::move(request),
+                   context_.now() + kPlatformTimeout,
+                   [this, service = state.config.service, written, isBump](const auto& response) {
+                     onWritten(service, written, isBump, response);
+                   });
+}
+
+void MapController::onWritten(const ServiceId& service,
+                              const std::shared_ptr<placement::ShardMap>& written,
+                              bool isBump,
+                              const transport::BufferedResponse& response)
+{
+  ServiceState& state = stateOf(service);
+  state.writing = false;
+  state.writeAt = context_.now() + kRepeatInterval;
+  const json body = json::parse(response.body, nullptr, false);
+  if (response.ok() && body.is_object() && body.contains("version")) {
+    state.writeAt = context_.now();
+    const Generation generation = written->generation();
+    if (!state.map || state.map->generation() < generation) {
+      install(state, std::move(*written), Version(body["version"].get<std::uint64_t>()));
+    }
+    if (isBump) {
+      events_.bumpWritten(service, generation);
+    }
+    return;
+  }
+  if (response.result == transport::ExchangeResult::Complete && response.head.status == kConflict &&
+      body.is_object() && body.contains("value")) {
+    ++context_.counters.mapConflicts;
+    state.writeAt = context_.now();
+    adopt(service, body["value"].dump(), Version(body.value("version", std::uint64_t(0))));
+    return;
+  }
+  // The write may have taken effect: only the platform knows.
+  ++context_.counters.platformFailures;
+  readBack(state, false);
+}
+
+void MapController::readBack(ServiceState& state, bool thenBump)
+{
+  state.writing = true;
+  ++context_.counters.platformCalls;
+  transport::ClientRequest request;
+  request.method = "GET";
+  request.path = "/objects/shardmap/" + state.config.service.value();
+  context_.io.send(context_.platformAddress,
+                   std::move(request),
+                   context_.now() + kPlatformTimeout,
+                   [this, service = state.config.service, thenBump](const auto& response) {
+                     onRead(service, thenBump, response);
+                   });
+}
+
+void MapController::onRead(const ServiceId& service,
+                           bool thenBump,
+                           const transport::BufferedResponse& response)
+{
+  ServiceState& state = stateOf(service);
+  state.writing = false;
+  state.writeAt = context_.now() + kRepeatInterval;
+  const json body = json::parse(response.body, nullptr, false);
+  if (!response.ok() || !body.is_object() || !body.contains("value")) {
+    ++context_.counters.platformFailures;
+    return;
+  }
+  const Version version(body.value("version", std::uint64_t(0)));
+  const bool newer = adopt(service, body["value"].dump(), version);
+  if (thenBump && !newer && state.bumpAbove && state.map) {
+    state.version = version;
+    placement::ShardMapBuilder builder(*state.map);
+    builder.setGeneration(Generation(state.map->generation().value() + 1)).setWriter(writerToken());
+    write(state, builder.build(), true);
+  }
+}
+
+void MapController::planService(ServiceState& state)
+{
+  if (!config_->services.contains(state.config.service)) {
+    return;
+  }
+  auto vms = entryVms();
+  const TimePoint now = context_.now();
+  for (auto& vm : vms) {
+    vm.live = vm.live && context_.members.isAlive(vm.id, now);
+  }
+  if (placement::planningVm(state.config.service, vms) != context_.self.vm) {
+    return;
+  }
+  try {
+    if (!state.map) {
+      createFirstMap(state);
+      return;
+    }
+    const auto views = serverViews(state);
+    auto roster = placement::updateRoster(
+      *state.map, views, entryVms(), voterMode(state.config), writerToken());
+    if (roster) {
+      write(state, std::move(*roster), false);
+      return;
+    }
+    if (repairVoters(state)) {
+      return;
+    }
+    placement::Plan plan = nextPlan(state);
+    orderMoves(state, plan);
+    plan.moves.clear();
+    if (!plan.empty()) {
+      write(state, placement::applyPlan(*state.map, plan, writerToken()), false);
+    }
+  } catch (const base::Error& error) {
+    context_.log("can't plan " + state.config.service.value() + ": " + error.what());
+    state.planAt = now + std::chrono::seconds(2);
+  }
+}
+
+void MapController::createFirstMap(ServiceState& state)
+{
+  // A map may exist that this VM has not read yet.
+  if (!listedAll_ || serverViews(state).empty()) {
+    return;
+  }
+  write(state,
+        placement::firstMap(state.config.service,
+                            state.config.shards,
+                            serverViews(state),
+                            entryVms(),
+                            voterMode(state.config),
+                            writerToken()),
+        false);
+}
+
+placement::Plan MapController::nextPlan(const ServiceState& state) const
+{
+  const auto views = serverViews(state);
+  const auto out = domainsOut();
+  auto options = placement::PlannerOptions::forShardCount(state.config.shards);
+  const auto& weights = state.config.weights;
+  options.churnWeight = weights.churn / std::max(1e-9, weights.churn + weights.imbalance);
+  const placement::PlanRequest request{ *state.map, views, out, state.loads, state.history };
+  return placement::PlacementPlanner(options).plan(request, context_.now());
+}
+
+std::optional<placement::Plan> MapController::dryRun(const ServiceId& service) const
+{
+  const ServiceState* state = findState(service);
+  if (state == nullptr || !state->map) {
+    return std::nullopt;
+  }
+  return nextPlan(*state);
+}
+
+void MapController::orderMoves(ServiceState& state, const placement::Plan& plan)
+{
+  std::map<ServerId, ChangeOrder> orders;
+  for (const placement::Move& move : plan.moves) {
+    if (move.reason == placement::MoveReason::ServerLost) {
+      // The evicting holder writes these.
+      continue;
+    }
+    ChangeOrder& order = orders[move.from];
+    order.service = state.config.service;
+    order.server = move.from;
+    order.generation = state.map->generation();
+    order.moves.push_back({ move.shard, move.to, move.successor.value_or(ServerId()) });
+  }
+  for (const auto& [server, order] : orders) {
+    events_.orderChange(order);
+  }
+}
+
+bool MapController::repairVoters(ServiceState& state)
+{
+  const TimePoint now = context_.now();
+  for (const auto& server : state.map->servers()) {
+    const auto& current = server.entry.voters;
+    auto wanted = placement::chooseVoters(
+      server.id, server.entry.domain, voterMode(state.config), current, entryVms());
+    if (wanted == current || wanted.empty()) {
+      continue;
+    }
+    const auto gone = std::count_if(current.begin(), current.end(), [&](const base::VmId& vm) {
+      return context_.members.isGone(vm, kForcedVoterChange, now);
+    });
+    if (2 * static_cast<std::size_t>(gone) > current.size()) {
+      context_.log("forced change of the voters of " + server.id.value());
+      ownership::WriteMap change;
+      change.kind = ChangeKind::Voters;
+      change.base = state.map->generation();
+      change.voters = wanted;
+      write(state, *changedMap(state, server.id, change), false);
+      return true;
+    }
+    ChangeOrder order;
+    order.service = state.config.service;
+    order.server = server.id;
+    order.generation = state.map->generation();
+    order.voters = wanted;
+    events_.orderChange(order);
+  }
+  return false;
+}
+
+std::string MapController::writerToken()
+{
+  return context_.self.vm.value() + "/" + std::to_string(random_());
+}
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/src/OwnershipController.cpp
@@ -0,0 +1,675 @@
+#include <control/OwnershipController.h>
+
+#include "ManagedServer.h"
+
+#include <control/PeerCodec.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace sycamore::control {
+
+using base::Duration;
+using base::ServerId;
+using base::TimePoint;
+using base::VmId;
+using nlohmann::json;
+using ownership::TenancyKind;
+using ownership::TenancyRole;
+
+namespace {
+
+// A vote that is answered later would have lapsed by the time the answer is used.
+constexpr base::milliseconds kVoteTimeout{ 250 };
+// A stalled server answers up to this late; the answer still carries a useful timestamp.
+constexpr base::milliseconds kGrantTimeout{ 400 };
+constexpr unsigned kMaxGrantsInFlight = 4;
+constexpr base::milliseconds kReleaseWait{ 80 };
+constexpr base::milliseconds kReleaseTimeout{ 300 };
+constexpr base::milliseconds kPermitInterval{ 50 };
+constexpr base::milliseconds kPermitTimeout{ 150 };
+// A holder that was not heard for this long is no longer named in routes.
+constexpr base::milliseconds kHolderLife{ 1500 };
+
+admission::ReportedState reportedState(const std::string& text)
+{
+  if (text == "cold") {
+    return admission::ReportedState::Cold;
+  }
+  return text == "draining" ? admission::ReportedState::Draining : admission::ReportedState::Warm;
+}
+
+admission::ServerGateSettings gateSettings(const configuration::ServiceConfig& config)
+{
+  admission::ServerGateSettings settings;
+  settings.slots = config.slotsPerServer;
+  settings.queue.maxLength = config.limits.queueLength;
+  settings.coldStart.coldLimit = config.coldStart.limit;
+  settings.coldStart.ramp = config.coldStart.ramp;
+  return settings;
+}
+
+} // namespace
+
+ownership::ServerRow rowOf(const placement::ShardMap& map, const ServerId& server)
+{
+  ownership::ServerRow row;
+  row.server = server;
+  row.generation = map.generation();
+  for (const base::ShardId shard : map.shardsOf(server)) {
+    row.owned.insert(shard);
+    if (const ServerId* successor = map.successor(shard)) {
+      row.successors[*successor].insert(shard);
+    }
+  }
+  if (const auto* entry = map.find(server)) {
+    row.voters = entry->voters;
+  }
+  return row;
+}
+
+OwnershipController::OwnershipController(ControlContext& context,
+                                         OwnershipEvents& events,
+                                         ownership::LeaseTimings timings,
+                                         router::DispatcherTable& dispatchers,
+                                         router::QuarantineBoard& quarantine)
+  : context_(context)
+  , events_(events)
+  , timings_(timings)
+  , dispatchers_(dispatchers)
+  , quarantine_(quarantine)
+  , voter_(context.self, timings, context.now())
+{
+}
+
+OwnershipController::~OwnershipController() = default;
+
+OwnershipController::Managed* OwnershipController::find(const ServerId& server) const
+{
+  const auto found = managed_.find(server);
+  return found == managed_.end() ? nullptr : found->second.get();
+}
+
+void OwnershipController::tick()
+{
+  const TimePoint now = context_.now();
+  for (const auto& [server, managed] : managed_) {
+    perform(*managed, managed->tenancy.tick(now));
+  }
+  for (auto& request : voter_.learnRequests(now)) {
+    outgoing_[request.to].learn.push_back(request);
+  }
+  permits_.dropExpired(now);
+  if (now >= nextPermits_) {
+    nextPermits_ = now + kPermitInterval;
+    askPermits();
+  }
+  std::erase_if(holders_, [&](const auto& entry) {
+    return entry.second.holder != context_.self.vm && now - entry.second.heardAt > kHolderLife;
+  });
+  flushVotes();
+}
+
+void OwnershipController::onMap(std::shared_ptr<const placement::ShardMap> map,
+                                const configuration::ServiceConfig& config)
+{
+  const TimePoint now = context_.now();
+  auto& shards = services_[config.service];
+  shards = std::make_unique<ServiceShards>();
+  shards->map = map;
+  for (const auto& server : map->servers()) {
+    ownership::ServerRow row = rowOf(*map, server.id);
+    shards->owned[server.id] = row.owned;
+    const bool isVoter =
+      std::find(row.voters.begin(), row.voters.end(), context_.self.vm) != row.voters.end();
+    Managed* managed = find(server.id);
+    if (managed == nullptr && isVoter) {
+      auto created = std::make_unique<Managed>(context_.self, timings_, row, now);
+      created->server = server.id;
+      created->service = config.service;
+      managed = managed_.emplace(server.id, std::move(created)).first->second.get();
+    }
+    if (managed != nullptr) {
+      managed->address = server.entry.address;
+      managed->domain = server.entry.domain;
+      managed->config = config;
+      perform(*managed, managed->tenancy.onMap(row, now));
+    }
+  }
+  for (const auto& [server, managed] : managed_) {
+    if (managed->service == config.service && map->find(server) == nullptr) {
+      perform(*managed, managed->tenancy.onMap(rowOf(*map, server), now));
+    }
+  }
+  flushVotes();
+}
+
+void OwnershipController::dropService(const base::ServiceId& service)
+{
+  for (auto it = managed_.begin(); it != managed_.end();) {
+    if (it->second->service != service) {
+      ++it;
+      continue;
+    }
+    dispatchers_.remove(it->first);
+    holders_.erase(it->first);
+    it = managed_.erase(it);
+  }
+  services_.erase(service);
+}
+
+void OwnershipController::onBumpWritten(const base::ServiceId& service, base::Generation generation)
+{
+  for (const auto& [server, managed] : managed_) {
+    if (managed->service == service) {
+      managed->tenancy.onBumpWritten(generation, context_.now());
+    }
+  }
+}
+
+void OwnershipController::perform(Managed& managed, const ownership::TenancyActions& actions)
+{
+  for (const auto& action : actions) {
+    std::visit([&](const auto& typed) { act(managed, typed); }, action);
+  }
+}
+
+void OwnershipController::act(Managed& managed, const ownership::SendVote& action)
+{
+  ++context_.counters.voteRequestsSent;
+  if (action.to != context_.self.vm) {
+    outgoing_[action.to].requests.push_back(action.request);
+    return;
+  }
+  const TimePoint now = context_.now();
+  const auto reply = voter_.vote(action.request, now);
+  perform(managed, managed.tenancy.onVoteReply(reply, now));
+}
+
+void OwnershipController::act(Managed& managed, const ownership::SendGrant& action)
+{
+  if (managed.grantsInFlight >= kMaxGrantsInFlight) {
+    return;
+  }
+  const TimePoint now = context_.now();
+  const auto request = managed.tenancy.grantToSend(action.term, permittedFor(managed), now);
+  if (!request) {
+    return;
+  }
+  json body = {
+    { "holder", request->holder.vm.value() },
+    { "term", request->term.value() },
+    { "generation", request->generation.value() },
+    { "echo_ns", request->echo ? request->echo->time_since_epoch().count() : 0 },
+    { "echo_incarnation", request->echoIncarnation.value() },
+    { "ttl_ms", std::chrono::duration_cast<std::chrono::milliseconds>(request->lifetime).count() },
+    { "service", managed.service.value() },
+    { "set_digest", request->setDigest }
+  };
+  if (request->shards) {
+    body["shards"] = request->shards->text();
+  }
+  ++managed.grantsInFlight;
+  ++context_.counters.grantsSent;
+  context_.io.post(managed.address,
+                   "/sycamore/grant",
+                   body.dump(),
+                   now + kGrantTimeout,
+                   [this, server = managed.server, sent = *request](const auto& response) {
+                     onGrantAnswer(server, sent, response);
+                   });
+}
+
+void OwnershipController::onGrantAnswer(const ServerId& server,
+                                        const ownership::GrantRequest& sent,
+                                        const transport::BufferedResponse& response)
+{
+  Managed* managed = find(server);
+  if (managed == nullptr) {
+    return;
+  }
+  --managed->grantsInFlight;
+  const json body = json::parse(response.body, nullptr, false);
+  if (!response.ok() || !body.is_object()) {
+    ++context_.counters.grantsUnanswered;
+    return;
+  }
+  ownership::GrantReply reply;
+  reply.server = server;
+  reply.term = sent.term;
+  reply.accepted = body.value("accepted", false);
+  reply.serverTime = TimePoint(Duration(body.value("server_time_ns", std::int64_t(0))));
+  reply.incarnation = base::Incarnation(body.value("incarnation", std::uint64_t(0)));
+  reply.highestTerm = base::Term(body.value("highest_term", std::uint64_t(0)));
+  const std::string reason = body.value("reason", "");
+  reply.reason = reply.accepted            ? ownership::GrantReason::Accepted
+                 : reason == "stale-term"  ? ownership::GrantReason::StaleTerm
+                 : reason == "unknown-set" ? ownership::GrantReason::UnknownDigest
+                                           : ownership::GrantReason::Expired;
+  if (!reply.accepted) {
+    ++context_.counters.grantsRefused;
+  }
+  perform(*managed, managed->tenancy.onGrantReply(reply, context_.now()));
+  noteServer(*managed, reply.incarnation, body.value("state", "warm"));
+  if (reply.accepted) {
+    updateGrantView(*managed, sent);
+  }
+  flushVotes();
+}
+
+void OwnershipController::updateGrantView(Managed& managed, const ownership::GrantRequest& granted)
+{
+  if (!managed.dispatcher || granted.term != managed.tenancy.term()) {
+    return;
+  }
+  if (granted.shards) {
+    managed.accepted = *granted.shards;
+  }
+  auto view = std::make_shared<router::GrantView>();
+  view->term = granted.term;
+  view->generation = granted.generation;
+  view->shards = managed.accepted;
+  // The votes end no later than this; each renewal extends it.
+  view->validUntil = managed.tenancy.mayDispatchUntil();
+  managed.dispatcher->setGrant(std::move(view));
+}
+
+void OwnershipController::noteServer(Managed& managed,
+                                     base::Incarnation incarnation,
+                                     const std::string& state)
+{
+  if (managed.incarnation && *managed.incarnation != incarnation) {
+    noteCrash(managed, *managed.incarnation);
+  }
+  managed.incarnation = incarnation;
+  if (managed.dispatcher) {
+    managed.dispatcher->serverChanged({ incarnation, reportedState(state) });
+  }
+  const bool drains = state == "draining";
+  if (drains && draining_.insert(managed.server).second) {
+    context_.log("server " + managed.server.value() + " is draining");
+    events_.holdersChanged();
+  }
+  if (!drains && draining_.erase(managed.server) > 0) {
+    events_.holdersChanged();
+  }
+}
+
+void OwnershipController::noteCrash(Managed& managed, base::Incarnation incarnation)
+{
+  if (!managed.dispatcher) {
+    return;
+  }
+  requests::CrashReport crash;
+  crash.server = managed.server;
+  crash.incarnation = incarnation;
+  crash.domain = managed.domain;
+  crash.inFlight = managed.dispatcher->takeCrashSuspects();
+  if (!crash.inFlight.empty()) {
+    quarantine_.noteCrash(crash);
+  }
+}
+
+void OwnershipController::act(Managed& managed, const ownership::SendRelease& action)
+{
+  if (managed.releaseInFlight) {
+    return;
+  }
+  if (managed.dispatcher) {
+    managed.dispatcher->withhold(action.request.shards);
+  }
+  const json body = { { "term", action.request.term.value() },
+                      { "shards", action.request.shards.text() },
+                      { "overrides", json::array() },
+                      { "wait_ms", kReleaseWait.count() } };
+  managed.releaseInFlight = true;
+  context_.io.post(managed.address,
+                   "/sycamore/release",
+                   body.dump(),
+                   context_.now() + kReleaseTimeout,
+                   [this, server = managed.server, sent = action.request](const auto& response) {
+                     onReleaseAnswer(server, sent, response);
+                   });
+}
+
+void OwnershipController::onReleaseAnswer(const ServerId& server,
+                                          const ownership::ReleaseRequest& sent,
+                                          const transport::BufferedResponse& response)
+{
+  Managed* managed = find(server);
+  if (managed == nullptr) {
+    return;
+  }
+  managed->releaseInFlight = false;
+  const json body = json::parse(response.body, nullptr, false);
+  ownership::ReleaseReply reply;
+  reply.server = server;
+  reply.term = sent.term;
+  reply.id = sent.id;
+  reply.released = response.ok() && body.is_object() && body.value("released", false) &&
+                   managed->dispatcher && !managed->dispatcher->isBusyWith(sent.shards);
+  perform(*managed, managed->tenancy.onReleaseReply(reply, context_.now()));
+  flushVotes();
+}
+
+void OwnershipController::act(Managed& managed, const ownership::BecameHolder& action)
+{
+  ++context_.counters.tenanciesGained;
+  context_.log("holder of " + managed.server.value() + " in term " +
+               std::to_string(action.term.value()));
+  managed.dispatcher = std::make_shared<router::ServerDispatcher>(managed.server,
+                                                                  managed.address,
+                                                                  managed.domain,
+                                                                  gateSettings(managed.config),
+                                                                  requests::LedgerSettings(),
+                                                                  context_.now(),
+                                                                  router::wallTime());
+  managed.accepted = {};
+  dispatchers_.insert(managed.dispatcher);
+  noteHolder(managed.server,
+             { context_.self.vm, action.term, TenancyKind::Active, context_.now(), false });
+  events_.holdersChanged();
+}
+
+void OwnershipController::act(Managed& managed, const ownership::LostTenancy& action)
+{
+  ++context_.counters.tenanciesLost;
+  context_.log("no longer holder of " + managed.server.value() + " in term " +
+               std::to_string(action.term.value()));
+  dispatchers_.remove(managed.server);
+  managed.dispatcher.reset();
+  draining_.erase(managed.server);
+  const auto known = holders_.find(managed.server);
+  if (known != holders_.end() && known->second.holder == context_.self.vm) {
+    holders_.erase(known);
+  }
+  events_.holdersChanged();
+}
+
+void OwnershipController::act(Managed& managed, const ownership::Evicted& action)
+{
+  ++context_.counters.evictions;
+  context_.log("evicted " + managed.server.value() + " in term " +
+               std::to_string(action.term.value()) + ", its successors serve its shards");
+  if (managed.incarnation) {
+    noteCrash(managed, *managed.incarnation);
+  }
+  dispatchers_.remove(managed.server);
+  managed.dispatcher.reset();
+  draining_.erase(managed.server);
+  noteHolder(managed.server,
+             { context_.self.vm, action.term, TenancyKind::Evicted, context_.now(), false });
+  events_.holdersChanged();
+  nextPermits_ = context_.now();
+}
+
+void OwnershipController::act(Managed& managed, const ownership::WriteMap& action)
+{
+  events_.writeMap(managed.service, managed.server, action);
+}
+
+void OwnershipController::act(Managed& managed, const ownership::WriteBump& action)
+{
+  events_.bumpMap(managed.service, action.base);
+}
+
+void OwnershipController::act(Managed& managed, const ownership::ChangeResolved&)
+{
+  if (managed.dispatcher) {
+    managed.dispatcher->withhold({});
+  }
+  events_.changeResolved(managed.server);
+}
+
+void OwnershipController::flushVotes()
+{
+  std::map<VmId, VoteBatch> outgoing;
+  outgoing.swap(outgoing_);
+  for (auto& [to, batch] : outgoing) {
+    sendVotes(to, std::move(batch));
+  }
+}
+
+void OwnershipController::sendVotes(const VmId& to, VoteBatch batch)
+{
+  const auto peer = context_.members.findPeer(to);
+  if (!peer || peer->peerAddress.empty()) {
+    return;
+  }
+  ++context_.counters.voteBatchesSent;
+  batch.from = context_.self.vm;
+  context_.io.post(peer->peerAddress,
+                   "/peer/vote",
+                   encode(batch),
+                   context_.now() + kVoteTimeout,
+                   [this](const auto& response) {
+                     if (response.ok()) {
+                       onVoteReplies(decodeVoteBatchReply(response.body));
+                     }
+                   });
+}
+
+void OwnershipController::onVoteReplies(const VoteBatchReply& reply)
+{
+  const TimePoint now = context_.now();
+  for (const auto& vote : reply.replies) {
+    if (Managed* managed = find(vote.server)) {
+      perform(*managed, managed->tenancy.onVoteReply(vote, now));
+    }
+  }
+  for (const auto& learned : reply.learned) {
+    voter_.onLearnReply(learned);
+  }
+  flushVotes();
+}
+
+VoteBatchReply OwnershipController::answerVotes(const VoteBatch& batch)
+{
+  const TimePoint now = context_.now();
+  VoteBatchReply reply;
+  for (const auto& request : batch.requests) {
+    const auto vote = voter_.vote(request, now);
+    if (vote.answer == ownership::VoteAnswer::Granted && !request.resign) {
+      if (Managed* managed = find(request.server)) {
+        managed->tenancy.onHolderSeen(request.holder, request.term, now);
+      }
+    }
+    reply.replies.push_back(vote);
+  }
+  for (const auto& request : batch.learn) {
+    reply.learned.push_back(voter_.answer(request));
+  }
+  return reply;
+}
+
+std::vector<ownership::Permit> OwnershipController::answerPermits(const PermitQuery& query) const
+{
+  const TimePoint now = context_.now();
+  std::vector<ownership::Permit> permits;
+  for (const auto& [server, managed] : managed_) {
+    for (const ServerId& successor : query.servers) {
+      if (auto permit = managed->tenancy.permitFor(successor, now)) {
+        permits.push_back(std::move(*permit));
+      }
+    }
+  }
+  return permits;
+}
+
+void OwnershipController::askPermits()
+{
+  std::set<VmId> evictors;
+  for (const auto& [server, known] : holders_) {
+    if (known.kind == TenancyKind::Evicted) {
+      evictors.insert(known.holder);
+    }
+  }
+  std::vector<ServerId> heirs;
+  for (const auto& [server, managed] : managed_) {
+    if (managed->tenancy.role() == TenancyRole::Active) {
+      heirs.push_back(server);
+    }
+  }
+  if (heirs.empty()) {
+    return;
+  }
+  for (const VmId& evictor : evictors) {
+    askPermitsOf(evictor, heirs);
+  }
+}
+
+void OwnershipController::askPermitsOf(const VmId& evictor, const std::vector<ServerId>& servers)
+{
+  const TimePoint askedAt = context_.now();
+  const PermitQuery query{ context_.self.vm, servers };
+  const auto apply = [this, askedAt](const std::vector<ownership::Permit>& permits) {
+    for (const auto& permit : permits) {
+      ++context_.counters.permitsReceived;
+      permits_.apply(permit, askedAt);
+      Managed* heir = find(permit.to);
+      // A new permit is granted at once instead of with the next renewal.
+      if (heir != nullptr && !heir->accepted.containsAll(permit.shards)) {
+        act(*heir, ownership::SendGrant{ heir->tenancy.term() });
+      }
+    }
+  };
+  if (evictor == context_.self.vm) {
+    apply(answerPermits(query));
+    return;
+  }
+  const auto peer = context_.members.findPeer(evictor);
+  if (!peer) {
+    return;
+  }
+  context_.io.post(peer->peerAddress,
+                   "/peer/permit",
+                   encode(query),
+                   askedAt + kPermitTimeout,
+                   [apply](const auto& response) {
+                     if (response.ok()) {
+                       apply(decodePermits(response.body));
+                     }
+                   });
+}
+
+ownership::ShardSet OwnershipController::permittedFor(const Managed& managed) const
+{
+  const auto shards = services_.find(managed.service);
+  if (shards == services_.end()) {
+    return {};
+  }
+  return permits_.grantable(managed.server, *shards->second, context_.now());
+}
+
+void OwnershipController::onHeartbeat(const Heartbeat& heartbeat)
+{
+  const TimePoint now = context_.now();
+  bool newEviction = false;
+  for (const HeldTenancy& held : heartbeat.held) {
+    if (Managed* managed = find(held.server)) {
+      managed->tenancy.onHolderSeen({ heartbeat.from, heartbeat.incarnation }, held.term, now);
+    }
+    const auto known = holders_.find(held.server);
+    if (known != holders_.end() && known->second.term > held.term) {
+      continue;
+    }
+    const bool changed = known == holders_.end() || known->second.holder != heartbeat.from ||
+                         known->second.kind != held.kind || known->second.draining != held.draining;
+    newEviction = newEviction || (changed && held.kind == TenancyKind::Evicted);
+    noteHolder(held.server, { heartbeat.from, held.term, held.kind, now, held.draining });
+    if (changed) {
+      events_.holdersChanged();
+    }
+  }
+  if (newEviction) {
+    askPermits();
+  }
+}
+
+void OwnershipController::noteHolder(const ServerId& server, const KnownHolder& holder)
+{
+  holders_[server] = holder;
+}
+
+bool OwnershipController::startMove(const ServerId& server, const ownership::ShardSet& shards)
+{
+  Managed* managed = find(server);
+  if (managed == nullptr) {
+    return false;
+  }
+  const auto actions = managed->tenancy.startMove(shards, context_.now());
+  if (actions) {
+    perform(*managed, *actions);
+    flushVotes();
+  }
+  return actions.has_value();
+}
+
+bool OwnershipController::startVoterChange(const ServerId& server, std::vector<VmId> voters)
+{
+  Managed* managed = find(server);
+  if (managed == nullptr) {
+    return false;
+  }
+  const auto actions = managed->tenancy.startVoterChange(std::move(voters), context_.now());
+  if (actions) {
+    perform(*managed, *actions);
+    flushVotes();
+  }
+  return actions.has_value();
+}
+
+void OwnershipController::resignAll()
+{
+  for (const auto& [server, managed] : managed_) {
+    if (!managed->dispatcher || managed->dispatcher->inFlight() == 0) {
+      perform(*managed, managed->tenancy.resign(context_.now()));
+    }
+  }
+  flushVotes();
+}
+
+bool OwnershipController::holdsAny() const
+{
+  return std::any_of(managed_.begin(), managed_.end(), [](const auto& entry) {
+    return entry.second->dispatcher != nullptr;
+  });
+}
+
+std::vector<HeldTenancy> OwnershipController::held() const
+{
+  std::vector<HeldTenancy> list;
+  for (const auto& [server, managed] : managed_) {
+    const TenancyRole role = managed->tenancy.role();
+    if (role == TenancyRole::Active || role == TenancyRole::Evicting ||
+        role == TenancyRole::Evicted) {
+      const bool evicted = role == TenancyRole::Evicted;
+      list.push_back({ server,
+                       managed->service,
+                       managed->tenancy.term(),
+                       evicted ? TenancyKind::Evicted : TenancyKind::Active,
+                       draining_.contains(server) });
+    }
+  }
+  return list;
+}
+
+bool OwnershipController::isEvicted(const ServerId& server) const
+{
+  const auto found = holders_.find(server);
+  return found != holders_.end() && found->second.kind == TenancyKind::Evicted;
+}
+
+bool OwnershipController::isDraining(const ServerId& server) const
+{
+  const auto found = holders_.find(server);
+  return draining_.contains(server) || (found != holders_.end() && found->second.draining);
+}
+
+std::optional<TenancyRole> OwnershipController::roleOf(const ServerId& server) const
+{
+  Managed* managed = find(server);
+  return managed == nullptr ? std::nullopt : std::optional(managed->tenancy.role());
+}
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/src/PeerCodec.cpp
@@ -0,0 +1,445 @@
+#include <control/PeerCodec.h>
+
+#include <control/ControlError.h>
+
+#include <nlohmann/json.hpp>
+
+namespace sycamore::control {
+
+using base::Duration;
+using base::TimePoint;
+using nlohmann::json;
+using ownership::HolderId;
+using ownership::TenancyKind;
+using ownership::VoteAnswer;
+
+namespace {
+
+std::int64_t nanos(TimePoint time)
+{
+  return time.time_since_epoch().count();
+}
+
+TimePoint timeOf(const json& value)
+{
+  return TimePoint(Duration(value.get<std::int64_t>()));
+}
+
+template<typename Id>
+std::vector<std::string> textsOf(const std::vector<Id>& ids)
+{
+  std::vector<std::string> texts;
+  for (const Id& id : ids) {
+    texts.push_back(id.value());
+  }
+  return texts;
+}
+
+template<typename Id>
+std::vector<Id> idsOf(const json& value)
+{
+  std::vector<Id> ids;
+  for (const auto& text : value) {
+    ids.emplace_back(text.get<std::string>());
+  }
+  return ids;
+}
+
+template<typename Strong>
+Strong strongOf(const json& value)
+{
+  return Strong(value.get<typename Strong::ValueType>());
+}
+
+json toJson(const HolderId& holder)
+{
+  return json::array({ holder.vm.value(), holder.incarnation.value() });
+}
+
+HolderId holderOf(const json& value)
+{
+  return { strongOf<base::VmId>(value.at(0)), strongOf<base::Incarnation>(value.at(1)) };
+}
+
+int kindNumber(TenancyKind kind)
+{
+  return kind == TenancyKind::Evicted ? 1 : 0;
+}
+
+TenancyKind kindOf(const json& value)
+{
+  return value.get<int>() == 1 ? TenancyKind::Evicted : TenancyKind::Active;
+}
+
+VoteAnswer answerOf(const json& value)
+{
+  const int number = value.get<int>();
+  if (number < 0 || number > static_cast<int>(VoteAnswer::MustWait)) {
+    throw ControlError("unknown vote answer " + std::to_string(number));
+  }
+  return static_cast<VoteAnswer>(number);
+}
+
+json toJson(const ownership::VoteRequest& request)
+{
+  json value = { { "server", request.server.value() },  { "holder", toJson(request.holder) },
+                 { "term", request.term.value() },      { "kind", kindNumber(request.kind) },
+                 { "gen", request.generation.value() }, { "floor", request.floor.value() },
+                 { "peers", textsOf(request.peers) },   { "asked", nanos(request.askedAt) } };
+  if (request.proof) {
+    value["proof"] =
+      json::array({ request.proof->voter.value(), request.proof->generation.value() });
+  }
+  if (request.resign) {
+    value["resign"] = true;
+  }
+  return value;
+}
+
+ownership::VoteRequest voteRequestOf(const json& value)
+{
+  ownership::VoteRequest request;
+  request.server = strongOf<base::ServerId>(value.at("server"));
+  request.holder = holderOf(value.at("holder"));
+  request.term = strongOf<base::Term>(value.at("term"));
+  request.kind = kindOf(value.at("kind"));
+  request.generation = strongOf<base::Generation>(value.at("gen"));
+  request.floor = strongOf<base::Generation>(value.at("floor"));
+  request.peers = idsOf<base::VmId>(value.at("peers"));
+  request.askedAt = timeOf(value.at("asked"));
+  if (value.contains("proof")) {
+    request.proof = ownership::FloorProof{ strongOf<base::Incarnation>(value["proof"].at(0)),
+                                           strongOf<base::Generation>(value["proof"].at(1)) };
+  }
+  request.resign = value.value("resign", false);
+  return request;
+}
+
+json toJson(const ownership::VoteReply& reply)
+{
+  return { { "server", reply.server.value() },
+           { "holder", toJson(reply.holder) },
+           { "term", reply.term.value() },
+           { "kind", kindNumber(reply.kind) },
+           { "asked", nanos(reply.askedAt) },
+           { "voter", reply.voter.value() },
+           { "run", reply.voterIncarnation.value() },
+           { "answer", static_cast<int>(reply.answer) },
+           { "highest", reply.highestTerm.value() },
+           { "cur_kind", kindNumber(reply.currentKind) },
+           { "cur_gen", reply.currentGeneration.value() },
+           { "floor", reply.floor.value() },
+           { "remaining_ns", reply.remaining.count() } };
+}
+
+ownership::VoteReply voteReplyOf(const json& value)
+{
+  ownership::VoteReply reply;
+  reply.server = strongOf<base::ServerId>(value.at("server"));
+  reply.holder = holderOf(value.at("holder"));
+  reply.term = strongOf<base::Term>(value.at("term"));
+  reply.kind = kindOf(value.at("kind"));
+  reply.askedAt = timeOf(value.at("asked"));
+  reply.voter = strongOf<base::VmId>(value.at("voter"));
+  reply.voterIncarnation = strongOf<base::Incarnation>(value.at("run"));
+  reply.answer = answerOf(value.at("answer"));
+  reply.highestTerm = strongOf<base::Term>(value.at("highest"));
+  reply.currentKind = kindOf(value.at("cur_kind"));
+  reply.currentGeneration = strongOf<base::Generation>(value.at("cur_gen"));
+  reply.floor = strongOf<base::Generation>(value.at("floor"));
+  reply.remaining = Duration(value.at("remaining_ns").get<std::int64_t>());
+  return reply;
+}
+
+json toJson(const ownership::LearnRequest& request)
+{
+  return { { "server", request.server.value() },
+           { "to", request.to.value() },
+           { "from", request.from.value() },
+           { "run", request.fromIncarnation.value() },
+           { "round", request.round } };
+}
+
+ownership::LearnRequest learnRequestOf(const json& value)
+{
+  ownership::LearnRequest request;
+  request.server = strongOf<base::ServerId>(value.at("server"));
+  request.to = strongOf<base::VmId>(value.at("to"));
+  request.from = strongOf<base::VmId>(value.at("from"));
+  request.fromIncarnation = strongOf<base::Incarnation>(value.at("run"));
+  request.round = value.at("round").get<std::uint64_t>();
+  return request;
+}
+
+json toJson(const ownership::LearnReply& reply)
+{
+  return { { "server", reply.server.value() }, { "from", reply.from.value() },
+           { "to", reply.to.value() },         { "run", reply.toIncarnation.value() },
+           { "round", reply.round },           { "known", reply.known },
+           { "term", reply.term.value() },     { "holder", toJson(reply.holder) },
+           { "kind", kindNumber(reply.kind) }, { "gen", reply.generation.value() },
+           { "floor", reply.floor.value() } };
+}
+
+ownership::LearnReply learnReplyOf(const json& value)
+{
+  ownership::LearnReply reply;
+  reply.server = strongOf<base::ServerId>(value.at("server"));
+  reply.from = strongOf<base::VmId>(value.at("from"));
+  reply.to = strongOf<base::VmId>(value.at("to"));
+  reply.toIncarnation = strongOf<base::Incarnation>(value.at("run"));
+  reply.round = value.at("round").get<std::uint64_t>();
+  reply.known = value.at("known").get<bool>();
+  reply.term = strongOf<base::Term>(value.at("term"));
+  reply.holder = holderOf(value.at("holder"));
+  reply.kind = kindOf(value.at("kind"));
+  reply.generation = strongOf<base::Generation>(value.at("gen"));
+  reply.floor = strongOf<base::Generation>(value.at("floor"));
+  return reply;
+}
+
+// Parses a message and turns every error into ControlError.
+template<typename Decode>
+auto decodeWith(const std::string& text, Decode decode)
+{
+  try {
+    return decode(json::parse(text));
+  } catch (const std::exception& error) {
+    throw ControlError(std::string("malformed message of a peer: ") + error.what());
+  }
+}
+
+template<typename Item, typename Decode>
+std::vector<Item> listOf(const json& value, Decode decode)
+{
+  std::vector<Item> items;
+  for (const json& item : value) {
+    items.push_back(decode(item));
+  }
+  return items;
+}
+
+template<typename Items>
+json arrayOf(const Items& items)
+{
+  json array = json::array();
+  for (const auto& item : items) {
+    array.push_back(toJson(item));
+  }
+  return array;
+}
+
+} // namespace
+
+std::string encode(const Heartbeat& heartbeat)
+{
+  json held = json::array();
+  for (const HeldTenancy& tenancy : heartbeat.held) {
+    held.push_back(json::array({ tenancy.server.value(),
+                                 tenancy.service.value(),
+                                 tenancy.term.value(),
+                                 kindNumber(tenancy.kind),
+                                 tenancy.draining }));
+  }
+  json maps = json::object();
+  for (const auto& [service, generation] : heartbeat.maps) {
+    maps[service.value()] = generation.value();
+  }
+  const json value = { { "from", heartbeat.from.value() },
+                       { "incarnation", heartbeat.incarnation.value() },
+                       { "address", heartbeat.peerAddress },
+                       { "domain", heartbeat.domain.value() },
+                       { "leaving", heartbeat.leaving },
+                       { "held", held },
+                       { "config_version", heartbeat.configDigest },
+                       { "map_generations", maps },
+                       { "quarantine_digest", heartbeat.quarantineDigest } };
+  return value.dump();
+}
+
+Heartbeat decodeHeartbeat(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    Heartbeat heartbeat;
+    heartbeat.from = strongOf<base::VmId>(value.at("from"));
+    heartbeat.incarnation = strongOf<base::Incarnation>(value.at("incarnation"));
+    heartbeat.peerAddress = value.at("address").get<std::string>();
+    heartbeat.domain = strongOf<base::DomainId>(value.at("domain"));
+    heartbeat.leaving = value.at("leaving").get<bool>();
+    for (const json& row : value.at("held")) {
+      heartbeat.held.push_back({ strongOf<base::ServerId>(row.at(0)),
+                                 strongOf<base::ServiceId>(row.at(1)),
+                                 strongOf<base::Term>(row.at(2)),
+                                 kindOf(row.at(3)),
+                                 row.at(4).get<bool>() });
+    }
+    heartbeat.configDigest = value.at("config_version").get<std::string>();
+    for (const auto& [service, generation] : value.at("map_generations").items()) {
+      heartbeat.maps[base::ServiceId(service)] = strongOf<base::Generation>(generation);
+    }
+    heartbeat.quarantineDigest = value.at("quarantine_digest").get<std::uint64_t>();
+    return heartbeat;
+  });
+}
+
+std::string encode(const VoteBatch& batch)
+{
+  return json{
+    { "from", batch.from.value() },
+    { "requests", arrayOf(batch.requests) },
+    { "learn", arrayOf(batch.learn) }
+  }.dump();
+}
+
+VoteBatch decodeVoteBatch(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    VoteBatch batch;
+    batch.from = strongOf<base::VmId>(value.at("from"));
+    batch.requests = listOf<ownership::VoteRequest>(value.at("requests"), voteRequestOf);
+    batch.learn = listOf<ownership::LearnRequest>(value.at("learn"), learnRequestOf);
+    return batch;
+  });
+}
+
+std::string encode(const VoteBatchReply& reply)
+{
+  return json{
+    { "replies", arrayOf(reply.replies) }, { "learned", arrayOf(reply.learned) }
+  }.dump();
+}
+
+VoteBatchReply decodeVoteBatchReply(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    VoteBatchReply reply;
+    reply.replies = listOf<ownership::VoteReply>(value.at("replies"), voteReplyOf);
+    reply.learned = listOf<ownership::LearnReply>(value.at("learned"), learnReplyOf);
+    return reply;
+  });
+}
+
+std::string encode(const PermitQuery& query)
+{
+  return json{ { "from", query.from.value() }, { "servers", textsOf(query.servers) } }.dump();
+}
+
+PermitQuery decodePermitQuery(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    return PermitQuery{ strongOf<base::VmId>(value.at("from")),
+                        idsOf<base::ServerId>(value.at("servers")) };
+  });
+}
+
+std::string encode(const std::vector<ownership::Permit>& permits)
+{
+  json list = json::array();
+  for (const ownership::Permit& permit : permits) {
+    list.push_back({ { "from", permit.from.value() },
+                     { "to", permit.to.value() },
+                     { "term", permit.term.value() },
+                     { "gen", permit.generation.value() },
+                     { "shards", permit.shards.text() },
+                     { "remaining_ns", permit.remaining.count() } });
+  }
+  return json{ { "permits", list } }.dump();
+}
+
+std::vector<ownership::Permit> decodePermits(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    return listOf<ownership::Permit>(value.at("permits"), [](const json& item) {
+      ownership::Permit permit;
+      permit.from = strongOf<base::ServerId>(item.at("from"));
+      permit.to = strongOf<base::ServerId>(item.at("to"));
+      permit.term = strongOf<base::Term>(item.at("term"));
+      permit.generation = strongOf<base::Generation>(item.at("gen"));
+      permit.shards = ownership::ShardSet::parse(item.at("shards").get<std::string>());
+      permit.remaining = Duration(item.at("remaining_ns").get<std::int64_t>());
+      return permit;
+    });
+  });
+}
+
+std::string encode(const ChangeOrder& order)
+{
+  json moves = json::array();
+  for (const MoveOrder& move : order.moves) {
+    moves.push_back(json::array({ move.shard.value(), move.to.value(), move.successor.value() }));
+  }
+  return json{
+    { "service", order.service.value() },
+    { "server", order.server.value() },
+    { "generation", order.generation.value() },
+    { "moves", moves },
+    { "voters", textsOf(order.voters) }
+  }.dump();
+}
+
+ChangeOrder decodeChangeOrder(const std::string& text)
+{
+  return decodeWith(text, [](const json& value) {
+    ChangeOrder order;
+    order.service = strongOf<base::ServiceId>(value.at("service"));
+    order.server = strongOf<base::ServerId>(value.at("server"));
+    order.generation = strongOf<base::Generation>(value.at("generation"));
+    order.moves = listOf<MoveOrder>(value.at("moves"), [](const json& item) {
+      return MoveOrder{ strongOf<base::ShardId>(item.at(0)),
+                        strongOf<base::ServerId>(item.at(1)),
+                        strongOf<base::ServerId>(item.at(2)) };
+    });
+    order.voters = idsOf<base::VmId>(value.at("voters"));
+    return order;
+  });
+}
+
+std::string encode(const std::vector<requests::QuarantineRecord>& records, TimePoint now)
+{
+  json list = json::array();
+  for (const requests::QuarantineRecord& record : records) {
+    json evidence = json::array();
+    for (const requests::CrashEvidence& crash : record.evidence) {
+      evidence.push_back({ { "server", crash.server.value() },
+                           { "run", crash.incarnation.value() },
+                           { "domain", crash.domain.value() },
+                           { "alone", crash.alone },
+                           { "stamp_ms", crash.stamp.time_since_epoch().count() },
+                           { "remaining_ns", (crash.expiresAt - now).count() } });
+    }
+    list.push_back({ { "subject", record.subject },
+                     { "evidence", evidence },
+                     { "cleared_ms", record.clearedAt.time_since_epoch().count() },
+                     { "cleared_ns", (record.clearedUntil - now).count() } });
+  }
+  return json{ { "verdicts", list } }.dump();
+}
+
+std::vector<requests::QuarantineRecord> decodeQuarantine(const std::string& text, TimePoint now)
+{
+  return decodeWith(text, [now](const json& value) {
+    return listOf<requests::QuarantineRecord>(value.at("verdicts"), [now](const json& item) {
+      const auto stampOf = [](const json& millis) {
+        return requests::WallTime(std::chrono::milliseconds(millis.get<std::int64_t>()));
+      };
+      requests::QuarantineRecord record;
+      record.subject = item.at("subject").get<std::string>();
+      record.evidence =
+        listOf<requests::CrashEvidence>(item.at("evidence"), [&](const json& entry) {
+          requests::CrashEvidence crash;
+          crash.server = strongOf<base::ServerId>(entry.at("server"));
+          crash.incarnation = strongOf<base::Incarnation>(entry.at("run"));
+          crash.domain = strongOf<base::DomainId>(entry.at("domain"));
+          crash.alone = entry.at("alone").get<bool>();
+          crash.stamp = stampOf(entry.at("stamp_ms"));
+          crash.expiresAt = now + Duration(entry.at("remaining_ns").get<std::int64_t>());
+          return crash;
+        });
+      record.clearedAt = stampOf(item.at("cleared_ms"));
+      record.clearedUntil = now + Duration(item.at("cleared_ns").get<std::int64_t>());
+      return record;
+    });
+  });
+}
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/control/src/PlatformReader.cpp
@@ -0,0 +1,181 @@
+#include <control/PlatformReader.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace sycamore::control {
+
+using base::TimePoint;
+using nlohmann::json;
+
+namespace {
+
+constexpr base::milliseconds kCallTimeout{ 1000 };
+constexpr base::milliseconds kWatchTime{ 10000 };
+constexpr base::milliseconds kWatchMargin{ 1500 };
+constexpr base::milliseconds kRetryInterval{ 250 };
+// The list is read every two seconds, less often with many VMs: all together read it at most 100
+// times a second, of the 2,000 reads that the platform takes.
+constexpr base::milliseconds kVmListInterval{ 2000 };
+constexpr base::milliseconds kVmListPerVm{ 10 };
+
+transport::ClientRequest getRequest(const std::string& path)
+{
+  transport::ClientRequest request;
+  request.method = "GET";
+  request.path = path;
+  return request;
+}
+
+std::vector<membership::ListedVm> parseVmList(const json& body)
+{
+  std::vector<membership::ListedVm> list;
+  for (const json& item : body.at("vms")) {
+    membership::ListedVm vm;
+    vm.id = item.at("id").get<std::string>();
+    vm.role = item.at("role") == "backend" ? membership::Role::Backend : membership::Role::Entry;
+    vm.address = item.value("address", "");
+    vm.peerAddress = item.value("peer_address", "");
+    vm.domain = base::DomainId(item.value("domain", ""));
+    vm.service = base::ServiceId(item.value("service", ""));
+    vm.state = item.value("state", "live") == "leaving" ? membership::ListedState::Leaving
+                                                        : membership::ListedState::Live;
+    list.push_back(vm);
+  }
+  return list;
+}
+
+std::vector<PlatformObject> parseObjects(const json& body)
+{
+  std::vector<PlatformObject> objects;
+  for (const json& item : body.at("objects")) {
+    objects.push_back({ item.at("name").get<std::string>(),
+                        base::Version(item.at("version").get<std::uint64_t>()),
+                        item.at("value").dump() });
+  }
+  return objects;
+}
+
+} // namespace
+
+PlatformReader::PlatformReader(ControlContext& context, PlatformListener& listener)
+  : context_(context)
+  , listener_(listener)
+{
+  config_.name = "config";
+  maps_.name = "shardmap";
+}
+
+void PlatformReader::tick(bool isRelay)
+{
+  const TimePoint now = context_.now();
+  if (!vmListBusy_ && now >= nextVmList_) {
+    readVmList();
+  }
+  for (Kind* kind : { &config_, &maps_ }) {
+    if (kind->busy || now < kind->nextAt) {
+      continue;
+    }
+    if (!kind->listed) {
+      list(*kind);
+    } else if (isRelay) {
+      watch(*kind);
+    }
+  }
+}
+
+base::Duration PlatformReader::listInterval() const
+{
+  const auto vms = static_cast<long>(context_.members.peers().size() + 1);
+  return std::max<base::Duration>(kVmListInterval, kVmListPerVm * vms);
+}
+
+void PlatformReader::readVmList()
+{
+  vmListBusy_ = true;
+  ++context_.counters.platformCalls;
+  context_.io.send(context_.platformAddress,
+                   getRequest("/vms"),
+                   context_.now() + kCallTimeout,
+                   [this](const transport::BufferedResponse& response) {
+                     vmListBusy_ = false;
+                     nextVmList_ = context_.now() + listInterval();
+                     noteAnswer(response.ok());
+                     if (!response.ok()) {
+                       nextVmList_ = context_.now() + kRetryInterval;
+                       return;
+                     }
+                     try {
+                       listener_.onVmList(parseVmList(json::parse(response.body)));
+                     } catch (const json::exception& error) {
+                       context_.log(std::string("malformed VM list: ") + error.what());
+                     }
+                   });
+}
+
+void PlatformReader::list(Kind& kind)
+{
+  kind.busy = true;
+  ++context_.counters.platformCalls;
+  context_.io.send(context_.platformAddress,
+                   getRequest("/objects/" + kind.name),
+                   context_.now() + kCallTimeout,
+                   [this, &kind](const auto& response) { onObjects(kind, true, response); });
+}
+
+void PlatformReader::watch(Kind& kind)
+{
+  kind.busy = true;
+  ++context_.counters.platformCalls;
+  const std::string path = "/watch/" + kind.name + "?after=" + std::to_string(kind.revision) +
+                           "&timeout_ms=" + std::to_string(kWatchTime.count());
+  context_.io.send(context_.platformAddress,
+                   getRequest(path),
+                   context_.now() + kWatchTime + kWatchMargin,
+                   [this, &kind](const auto& response) { onObjects(kind, false, response); });
+}
+
+void PlatformReader::onObjects(Kind& kind, bool whole, const transport::BufferedResponse& response)
+{
+  kind.busy = false;
+  kind.nextAt = context_.now();
+  noteAnswer(response.ok());
+  if (!response.ok()) {
+    kind.nextAt = context_.now() + kRetryInterval;
+    // Changes during the outage are found by a full read.
+    kind.listed = false;
+    return;
+  }
+  try {
+    const json body = json::parse(response.body);
+    const auto objects = parseObjects(body);
+    kind.revision = body.at("revision").get<std::uint64_t>();
+    kind.listed = true;
+    if (&kind == &config_) {
+      listener_.onConfig(objects);
+    } else {
+      listener_.onMaps(objects, whole);
+    }
+  } catch (const json::exception& error) {
+    context_.log("malformed list of " + kind.name + ": " + error.what());
+    kind.nextAt = context_.now() + kRetryInterval;
+  }
+}
+
+void PlatformReader::noteAnswer(bool answered)
+{
+  if (!answered) {
+    ++context_.counters.platformFailures;
+  }
+  if (!known_ || answered != reachable_) {
+    context_.log(answered ? "platform is reachable" : "platform is not reachable");
+  }
+  if (answered && !reachable_) {
+    // The list may be older than the outage.
+    nextVmList_ = context_.now();
+  }
+  known_ = true;
+  reachable_ = answered;
+}
+
+} // namespace sycamore::control
--- /dev/null
+++ b/libs/router/include/router/Headers.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string_view>
+
+namespace sycamore::router {
+
+// Headers of the caller's and the server's protocol (docs/design.md section 5).
+inline constexpr const char* kKeyHeader = "Sycamore-Key";
+inline constexpr const char* kRequestIdHeader = "Sycamore-Request-Id";
+inline constexpr const char* kDeadlineHeader = "Sycamore-Deadline-Ms";
+inline constexpr const char* kAttemptHeader = "Sycamore-Attempt";
+inline constexpr const char* kOutcomeHeader = "Sycamore-Outcome";
+inline constexpr const char* kReasonHeader = "Sycamore-Reason";
+inline constexpr const char* kServerHeader = "Sycamore-Server";
+inline constexpr const char* kServiceHeader = "Sycamore-Service";
+inline constexpr const char* kMethodHeader = "Sycamore-Method";
+inline constexpr const char* kShardHeader = "Sycamore-Shard";
+inline constexpr const char* kTermHeader = "Sycamore-Term";
+
+// Whether a header belongs to one connection and is not passed on.
+bool isHopByHop(std::string_view name);
+
+// Whether a header is written by this system, so that a caller's or a server's own is dropped.
+bool isReserved(std::string_view name);
+
+} // namespace sycamore::router
--- /dev/null
+++ b/libs/router/src/Answer.cpp
@@ -0,0 +1,147 @@
+#include <router/Answer.h>
+
+#include <router/Headers.h>
+
+#include <charconv>
+
+namespace sycamore::router {
+
+using requests::AttemptEnd;
+using requests::AttemptProgress;
+using requests::AttemptReport;
+using transport::ExchangeResult;
+using transport::ResponseHead;
+
+namespace {
+
+constexpr const char* kOutcomeLower = "sycamore-outcome";
+constexpr const char* kReasonLower = "sycamore-reason";
+
+std::optional<std::size_t> lengthOf(const ResponseHead& head)
+{
+  const auto text = head.header("content-length");
+  std::size_t length = 0;
+  if (!text ||
+      std::from_chars(text->data(), text->data() + text->size(), length).ec != std::errc()) {
+    return std::nullopt;
+  }
+  return length;
+}
+
+bool isRefusal(const ResponseHead& head)
+{
+  const auto outcome = head.header(kOutcomeLower);
+  return outcome && *outcome != requests::outcomeWord(requests::Outcome::Ran);
+}
+
+} // namespace
+
+Answer::Answer(transport::ServerResponse& response, base::RequestId id, std::size_t storeLimit)
+  : response_(response)
+  , id_(std::move(id))
+  , storeLimit_(storeLimit)
+{
+}
+
+transport::ResponseReceiver Answer::receiver(const base::ServerId& from)
+{
+  head_ = {};
+  headSeen_ = false;
+  heldBack_ = false;
+  return { [this, from](const ResponseHead& head) { return onHead(head, from); },
+           [this](std::string_view part) { return onBody(part); } };
+}
+
+bool Answer::onHead(const ResponseHead& head, const base::ServerId& from)
+{
+  head_ = head;
+  headSeen_ = true;
+  heldBack_ = isRefusal(head);
+  if (heldBack_) {
+    return true;
+  }
+  for (const auto& [name, value] : head.headers) {
+    if (!isHopByHop(name) && !isReserved(name)) {
+      response_.setHeader(name, value);
+    }
+  }
+  const auto server = head.header("sycamore-server");
+  response_.setHeader(kServerHeader, server.value_or(from.value()));
+  response_.setHeader(kOutcomeHeader, std::string(outcomeWord(requests::Outcome::Ran)));
+  response_.setHeader(kRequestIdHeader, id_.value());
+  committed_ = true;
+  const bool bodyless = head.status == 204 || head.status == 304;
+  if (!response_.begin(head.status, bodyless ? std::optional<std::size_t>(0) : lengthOf(head))) {
+    callerGone_ = true;
+  }
+  return !callerGone_;
+}
+
+bool Answer::onBody(std::string_view part)
+{
+  if (heldBack_) {
+    return true;
+  }
+  if (stored_.size() + part.size() <= storeLimit_) {
+    stored_.append(part);
+  } else {
+    storedAll_ = false;
+  }
+  if (!response_.write(part)) {
+    callerGone_ = true;
+  }
+  return !callerGone_;
+}
+
+bool Answer::complete()
+{
+  return response_.end();
+}
+
+requests::StoredAnswer Answer::storedAnswer() const
+{
+  requests::StoredAnswer answer;
+  answer.status = head_.status;
+  answer.contentType = head_.header("content-type").value_or("application/octet-stream");
+  answer.bodyKept = storedAll_;
+  if (storedAll_) {
+    answer.body = stored_;
+  }
+  return answer;
+}
+
+requests::Classification Answer::classify(ExchangeResult result) const
+{
+  AttemptReport report;
+  const auto outcome = head_.header(kOutcomeLower);
+  const auto reason = head_.header(kReasonLower);
+  if (outcome) {
+    report.outcomeHeader = *outcome;
+  }
+  if (reason) {
+    report.reasonHeader = *reason;
+  }
+  switch (result) {
+    case ExchangeResult::NotSent:
+      report.progress = AttemptProgress::NothingSent;
+      break;
+    case ExchangeResult::Complete:
+      report.progress =
+        heldBack_ ? AttemptProgress::RefusedByServer : AttemptProgress::CompleteAnswer;
+      break;
+    case ExchangeResult::Broken:
+    case ExchangeResult::TimedOut:
+    case ExchangeResult::Aborted:
+      report.progress =
+        headSeen_ ? AttemptProgress::BrokenAnswer : AttemptProgress::BytesMayHaveArrived;
+      break;
+  }
+  if (result == ExchangeResult::TimedOut) {
+    report.end = AttemptEnd::Timeout;
+  } else if (result == ExchangeResult::Aborted) {
+    report.end = AttemptEnd::Cancelled;
+  }
+  return classifyAttempt(report);
+}
+
+} // namespace sycamore::router
--- /dev/null
+++ b/libs/router/src/Headers.cpp
@@ -0,0 +1,43 @@
+#include <router/Headers.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <string>
+
+namespace sycamore::router {
+
+namespace {
+
+std::string toLower(std::string_view text)
+{
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return lower;
+}
+
+} // namespace
+
+bool isHopByHop(std::string_view name)
+{
+  static constexpr std::array<std::string_view, 12> kNames = {
+    "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
+    "te",         "trailer",          "transfer-encoding",  "upgrade",
+    "expect",     "proxy-connection", "content-length",     "host"
+  };
+  return std::find(kNames.begin(), kNames.end(), toLower(name)) != kNames.end();
+}
+
+bool isReserved(std::string_view name)
+{
+  static constexpr std::array<std::string_view, 12> kNames = {
+    "sycamore-key",     "sycamore-request-id", "sycamore-deadline-ms", "sycamore-attempt",
+    "sycamore-outcome", "sycamore-reason",     "sycamore-server",      "sycamore-service",
+    "sycamore-method",  "sycamore-shard",      "sycamore-term",        "sycamore-replayed"
+  };
+  return std::find(kNames.begin(), kNames.end(), toLower(name)) != kNames.end();
+}
+
+} // namespace sycamore::router
--- /dev/null
+++ b/libs/router/src/QuarantineBoard.cpp
@@ -0,0 +1,65 @@
+#include <router/QuarantineBoard.h>
+
+namespace sycamore::router {
+
+using base::SteadyClock;
+
+requests::WallTime wallTime()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+QuarantineBoard::QuarantineBoard(requests::QuarantineSettings settings)
+  : quarantine_(settings)
+{
+}
+
+requests::Treatment QuarantineBoard::check(const requests::WorkIdentity& work) const
+{
+  std::lock_guard lock(mutex_);
+  return quarantine_.check(work, SteadyClock().now());
+}
+
+void QuarantineBoard::noteCrash(const requests::CrashReport& crash)
+{
+  std::lock_guard lock(mutex_);
+  quarantine_.noteCrash(crash, SteadyClock().now(), wallTime());
+}
+
+void QuarantineBoard::noteCompleted(const requests::WorkIdentity& work)
+{
+  std::lock_guard lock(mutex_);
+  quarantine_.noteCompleted(work, SteadyClock().now(), wallTime());
+}
+
+bool QuarantineBoard::lift(const std::string& subject)
+{
+  std::lock_guard lock(mutex_);
+  return quarantine_.lift(subject, SteadyClock().now(), wallTime());
+}
+
+std::vector<requests::QuarantineRecord> QuarantineBoard::condemned() const
+{
+  std::lock_guard lock(mutex_);
+  return quarantine_.condemned(SteadyClock().now());
+}
+
+std::vector<requests::QuarantineRecord> QuarantineBoard::records() const
+{
+  std::lock_guard lock(mutex_);
+  return quarantine_.records(SteadyClock().now());
+}
+
+void QuarantineBoard::merge(const std::vector<requests::QuarantineRecord>& records)
+{
+  std::lock_guard lock(mutex_);
+  quarantine_.merge(records, SteadyClock().now());
+}
+
+std::uint64_t QuarantineBoard::digest() const
+{
+  std::lock_guard lock(mutex_);
+  return quarantine_.digest(SteadyClock().now());
+}
+
+} // namespace sycamore::router
--- /dev/null
+++ b/libs/router/src/ServerDispatcher.cpp
@@ -0,0 +1,304 @@
+#include <router/ServerDispatcher.h>
+
+#include <algorithm>
+
+namespace sycamore::router {
+
+using admission::GateAction;
+using admission::WorkId;
+using base::ShardId;
+using base::SteadyClock;
+using base::TimePoint;
+using requests::Reason;
+
+namespace {
+
+// A waiting request looks for a departed sender this often.
+constexpr base::milliseconds kSenderCheckInterval{ 50 };
+// A connection that broke up to this long before a crash was noticed is evidence for it: the
+// control thread learns of the crash by its next grant.
+constexpr base::milliseconds kSuspectLife{ 2000 };
+
+TimePoint now()
+{
+  return SteadyClock().now();
+}
+
+} // namespace
+
+ServerDispatcher::ServerDispatcher(base::ServerId server,
+                                   std::string address,
+                                   base::DomainId domain,
+                                   admission::ServerGateSettings gate,
+                                   requests::LedgerSettings ledger,
+                                   TimePoint start,
+                                   requests::WallTime wallNow)
+  : server_(std::move(server))
+  , address_(std::move(address))
+  , domain_(std::move(domain))
+  , startedAt_(start)
+  , grant_(std::make_shared<const GrantView>())
+  , gate_(gate, start)
+  , ledger_(ledger, start, wallNow)
+{
+}
+
+Admission ServerDispatcher::admit(const AdmissionRequest& request)
+{
+  std::unique_lock lock(mutex_);
+  if (request.shard && withheld_.contains(*request.shard)) {
+    return { false, {}, {}, Reason::NotOwner, {} };
+  }
+  const WorkId work(nextWork_++);
+  Waiter waiter;
+  waiters_[work] = &waiter;
+  admission::QueuedWork queued;
+  queued.id = work;
+  queued.flow = request.flow;
+  queued.deadline = request.deadline;
+  queued.bytes = request.bytes;
+  queued.alone = request.alone;
+  perform(gate_.enqueue(std::move(queued), now()));
+  waitForAction(waiter, work, request, lock);
+  waiters_.erase(work);
+  const GateAction action = *waiter.action;
+  if (action.kind == GateAction::Kind::Refuse) {
+    return { false, work, {}, action.reason, action.retryAfter };
+  }
+  running_[work].shard = request.shard;
+  if (request.shard && withheld_.contains(*request.shard)) {
+    // A release began while the request waited.
+    running_.erase(work);
+    perform(gate_.finished({ work, { requests::Outcome::NotRun, Reason::NotOwner } }, now()));
+    return { false, work, {}, Reason::NotOwner, {} };
+  }
+  return { true, work, grant_.load()->term, Reason::None, {} };
+}
+
+void ServerDispatcher::waitForAction(Waiter& waiter,
+                                     WorkId work,
+                                     const AdmissionRequest& request,
+                                     std::unique_lock<std::mutex>& lock)
+{
+  while (!waiter.action) {
+    const TimePoint start = now();
+    TimePoint wakeAt = std::min(request.deadline, start + kSenderCheckInterval);
+    if (const auto next = gate_.nextWakeUp(start)) {
+      wakeAt = std::min(wakeAt, *next);
+    }
+    const auto wait = std::max<base::Duration>(wakeAt - start, std::chrono::microseconds(100));
+    waiter.wakeUp.wait_for(lock, wait);
+    if (waiter.action) {
+      return;
+    }
+    perform(gate_.wake(now()));
+    if (!waiter.action && (now() >= request.deadline || request.isSenderGone())) {
+      const bool expired = now() >= request.deadline;
+      perform(gate_.withdraw(work, now()));
+      if (!waiter.action) {
+        GateAction refusal;
+        refusal.work = work;
+        refusal.reason = expired ? Reason::Expired : Reason::Cancelled;
+        waiter.action = refusal;
+      }
+    }
+  }
+}
+
+void ServerDispatcher::perform(const admission::GateActions& actions)
+{
+  for (const GateAction& action : actions) {
+    const auto found = waiters_.find(action.work);
+    if (found == waiters_.end()) {
+      continue;
+    }
+    found->second->action = action;
+    found->second->wakeUp.notify_one();
+  }
+}
+
+bool ServerDispatcher::mayDispatch(const std::optional<ShardId>& shard) const
+{
+  const auto grant = grant_.load();
+  return now() < grant->validUntil && (!shard || grant->shards.contains(*shard));
+}
+
+void ServerDispatcher::noteStarted(WorkId work, const requests::WorkIdentity& identity)
+{
+  std::lock_guard lock(mutex_);
+  running_[work].identity = identity;
+}
+
+void ServerDispatcher::finished(WorkId work, const requests::Classification& result)
+{
+  std::lock_guard lock(mutex_);
+  const auto found = running_.find(work);
+  if (found != running_.end()) {
+    if (result.reason == Reason::ConnectionLost && found->second.identity) {
+      forgetOldSuspects(now());
+      suspects_.push_back({ *found->second.identity, now() });
+    }
+    running_.erase(found);
+  }
+  perform(gate_.finished({ work, result }, now()));
+}
+
+void ServerDispatcher::abandoned(WorkId work)
+{
+  std::lock_guard lock(mutex_);
+  const auto found = running_.find(work);
+  if (found != running_.end()) {
+    if (found->second.identity) {
+      forgetOldSuspects(now());
+      suspects_.push_back({ *found->second.identity, now() });
+    }
+    running_.erase(found);
+  }
+  perform(gate_.abandoned(work, now()));
+}
+
+void ServerDispatcher::cancelConfirmed(WorkId work)
+{
+  std::lock_guard lock(mutex_);
+  perform(gate_.cancelConfirmed(work, now()));
+}
+
+TimePoint ServerDispatcher::responsibleSince(const std::optional<ShardId>& shard) const
+{
+  std::lock_guard lock(mutex_);
+  if (shard) {
+    const auto found = arrivals_.find(*shard);
+    if (found != arrivals_.end()) {
+      return found->second;
+    }
+  }
+  return startedAt_;
+}
+
+requests::LedgerDecision ServerDispatcher::beginOnce(const std::string& id,
+                                                     unsigned attempt,
+                                                     std::uint64_t fingerprint,
+                                                     const std::optional<ShardId>& shard)
+{
+  requests::LedgerRequest request;
+  request.id = id;
+  request.attempt = attempt;
+  request.fingerprint = fingerprint;
+  request.responsibleSince = responsibleSince(shard);
+  std::lock_guard lock(ledgerMutex_);
+  return ledger_.begin(request, now());
+}
+
+void ServerDispatcher::settleRan(const std::string& id, requests::StoredAnswer answer)
+{
+  std::lock_guard lock(ledgerMutex_);
+  ledger_.markRan(id, std::move(answer), now());
+}
+
+void ServerDispatcher::settleUnknown(const std::string& id)
+{
+  std::lock_guard lock(ledgerMutex_);
+  ledger_.markUnknown(id, now());
+}
+
+void ServerDispatcher::settleNotRun(const std::string& id)
+{
+  std::lock_guard lock(ledgerMutex_);
+  ledger_.markNotRun(id, now());
+}
+
+void ServerDispatcher::setGrant(std::shared_ptr<const GrantView> grant)
+{
+  const TimePoint time = now();
+  std::lock_guard lock(mutex_);
+  const auto previous = grant_.load();
+  if (!(previous->shards == grant->shards)) {
+    ownership::ShardSet arrived = grant->shards;
+    arrived.erase(knownShards_);
+    const bool first = previous->term == base::Term();
+    for (const auto& range : arrived.ranges()) {
+      for (std::uint32_t shard = range.first; !first && shard <= range.last; ++shard) {
+        arrivals_[ShardId(shard)] = time;
+      }
+    }
+    knownShards_ = grant->shards;
+    ownership::ShardSet stillWithheld = withheld_;
+    ownership::ShardSet gone = withheld_;
+    gone.erase(grant->shards);
+    // A released shard that is no longer granted may come back later as a new arrival.
+    stillWithheld.erase(gone);
+    withheld_ = stillWithheld;
+  }
+  grant_.store(std::move(grant));
+  perform(gate_.setGranted(grant_.load()->validUntil > time, time));
+}
+
+void ServerDispatcher::withhold(const ownership::ShardSet& shards)
+{
+  std::lock_guard lock(mutex_);
+  withheld_ = shards;
+}
+
+bool ServerDispatcher::isBusyWith(const ownership::ShardSet& shards) const
+{
+  std::lock_guard lock(mutex_);
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+    return entry.second.shard && shards.contains(*entry.second.shard);
+  });
+}
+
+void ServerDispatcher::serverChanged(const admission::ServerReport& report)
+{
+  std::lock_guard lock(mutex_);
+  perform(gate_.serverChanged(report, now()));
+}
+
+void ServerDispatcher::tenancyLost()
+{
+  std::lock_guard lock(mutex_);
+  grant_.store(std::make_shared<const GrantView>());
+  perform(gate_.tenancyLost(now()));
+}
+
+std::vector<requests::WorkIdentity> ServerDispatcher::takeCrashSuspects()
+{
+  std::lock_guard lock(mutex_);
+  forgetOldSuspects(now());
+  std::vector<requests::WorkIdentity> identities;
+  for (Suspect& suspect : suspects_) {
+    identities.push_back(std::move(suspect.identity));
+  }
+  suspects_.clear();
+  for (const auto& [work, running] : running_) {
+    if (running.identity) {
+      identities.push_back(*running.identity);
+    }
+  }
+  return identities;
+}
+
+void ServerDispatcher::forgetOldSuspects(TimePoint time)
+{
+  std::erase_if(suspects_,
+                [&](const Suspect& suspect) { return suspect.brokenAt + kSuspectLife < time; });
+}
+
+std::size_t ServerDispatcher::inFlight() const
+{
+  std::lock_guard lock(mutex_);
+  return gate_.inFlight();
+}
+
+std::size_t ServerDispatcher::queued() const
+{
+  std::lock_guard lock(mutex_);
+  return gate_.queued();
+}
+
+bool ServerDispatcher::isCold() const
+{
+  std::lock_guard lock(mutex_);
+  return gate_.cold();
+}
+
+} // namespace sycamore::router
--- a/libs/transport/include/transport/HttpServer.h
+++ b/libs/transport/include/transport/HttpServer.h
@@ -36,8 +36,9 @@
   // Reads the whole body, or nothing when it is longer than limit bytes or broke off.
   virtual std::optional<std::string> readBody(std::size_t limit) = 0;
 
-  // Whether the sender closed its connection.
-  virtual bool isSenderGone() const = 0;
+  // Tells whether the sender closed its connection. The probe may be called from any thread as
+  // long as the request is being handled.
+  virtual std::function<bool()> senderProbe() const = 0;
 };
 
 // Writes the answer to one request. Exactly one of send() or begin() is called. An answer that
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -173,7 +173,10 @@
     return body;
   }
 
-  bool isSenderGone() const override { return currentConnection->stream->isPeerGone(); }
+  std::function<bool()> senderProbe() const override
+  {
+    return [stream = currentConnection->stream] { return stream->isPeerGone(); };
+  }
 
   // Whether bytes of the body are still on the connection.
   bool hasUnreadBody() const { return !isBodyless() && !bodyRead_; }
