Add the public headers of the ownership library

The daemon is wired against these types, so they come before the code. The classes are templates over a policy of rules, of which only StandardRules is instantiated in the library: the shipped types cannot be misconfigured, and tests can take away one rule at a time.

Nothing is implemented yet; the headers compile one by one.

--- /dev/null
+++ b/libs/ownership/include/ownership/LearnReply.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <ownership/HolderId.h>
+#include <ownership/TenancyKind.h>
+
+#include <cstdint>
+
+namespace sycamore::ownership {
+
+// Answers a LearnRequest. If known is false, the answering voter has not relearned itself.
+struct LearnReply
+{
+  base::ServerId server;
+  base::VmId from;
+  base::VmId to;
+  base::Incarnation toIncarnation;
+  std::uint64_t round = 0;
+  bool known = false;
+  base::Term term;
+  HolderId holder;
+  TenancyKind kind = TenancyKind::Active;
+  base::Generation generation;
+  base::Generation floor;
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/LeaseTimingsBuilder.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <ownership/LeaseTimings.h>
+
+namespace sycamore::ownership {
+
+// Starts from the values of the design. build() throws OwnershipError if a duration is not
+// positive, if fewer than three renewals fit into a vote or a grant, or if a grant is shorter than
+// a vote: a change of holder would then outlast the grant.
+class LeaseTimings::Builder
+{
+public:
+  Builder& renewalInterval(base::Duration value);
+  Builder& voteLifetime(base::Duration value);
+  Builder& grantLifetime(base::Duration value);
+  Builder& holderSilence(base::Duration value);
+  Builder& candidateStagger(base::Duration value);
+  Builder& drift(int percent, base::Duration slack);
+  LeaseTimings build() const;
+
+private:
+  LeaseTimings timings_;
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/OwnershipRules.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+
+namespace sycamore::ownership {
+
+// The rules that the classes follow. Only StandardRules ships; tests take away one rule at a time
+// and show that the history checker finds the harm.
+template<typename T>
+concept OwnershipRules = requires
+{
+  {
+    T::kCheckTerms
+    } -> std::convertible_to<bool>;
+  {
+    T::kWaitOutGrants
+    } -> std::convertible_to<bool>;
+  {
+    T::kAbstainAfterRestart
+    } -> std::convertible_to<bool>;
+  {
+    T::kValidityFromEcho
+    } -> std::convertible_to<bool>;
+  {
+    T::kCheckVotesBeforeSend
+    } -> std::convertible_to<bool>;
+  {
+    T::kRaiseFloor
+    } -> std::convertible_to<bool>;
+  {
+    T::kIgnoreGrantsOlderThanRelease
+    } -> std::convertible_to<bool>;
+  {
+    T::kCountFloorOnValidVotesOnly
+    } -> std::convertible_to<bool>;
+  {
+    T::kDistinguishRuns
+    } -> std::convertible_to<bool>;
+  {
+    T::kCheckPermitsAgainstMap
+    } -> std::convertible_to<bool>;
+  {
+    T::kWithholdShardsInDoubt
+    } -> std::convertible_to<bool>;
+  {
+    T::majority(std::size_t{})
+    } -> std::convertible_to<std::size_t>;
+};
+
+struct StandardRules
+{
+  static constexpr bool kCheckTerms = true;
+  static constexpr bool kWaitOutGrants = true;
+  static constexpr bool kAbstainAfterRestart = true;
+  static constexpr bool kValidityFromEcho = true;
+  static constexpr bool kCheckVotesBeforeSend = true;
+  static constexpr bool kRaiseFloor = true;
+  static constexpr bool kIgnoreGrantsOlderThanRelease = true;
+  static constexpr bool kCountFloorOnValidVotesOnly = true;
+  static constexpr bool kDistinguishRuns = true;
+  static constexpr bool kCheckPermitsAgainstMap = true;
+  static constexpr bool kWithholdShardsInDoubt = true;
+  static constexpr std::size_t majority(std::size_t voters) { return voters / 2 + 1; }
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/ReleaseReply.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <base/Ids.h>
+
+#include <cstdint>
+
+namespace sycamore::ownership {
+
+// Answers a ReleaseRequest. If released is false, ask again: work is still running, or the term is
+// stale.
+struct ReleaseReply
+{
+  base::ServerId server;
+  base::Term term;
+  std::uint64_t id = 0;
+  bool released = false;
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/ServerRow.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <ownership/ShardSet.h>
+
+#include <map>
+#include <vector>
+
+namespace sycamore::ownership {
+
+// What a shard map of one generation says about one server.
+struct ServerRow
+{
+  base::ServerId server;
+  base::Generation generation;
+  ShardSet owned;
+  // The owned shards by their recorded successor.
+  std::map<base::ServerId, ShardSet> successors;
+  // In order of preference.
+  std::vector<base::VmId> voters;
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <ownership/GrantClock.h>
+#include <ownership/GrantReply.h>
+#include <ownership/GrantRequest.h>
+#include <ownership/LeaseTimings.h>
+#include <ownership/MapChange.h>
+#include <ownership/Permit.h>
+#include <ownership/ReleaseReply.h>
+#include <ownership/ServerRow.h>
+#include <ownership/TenancyAction.h>
+#include <ownership/TenancyRole.h>
+#include <ownership/VoteQuorum.h>
+#include <ownership/VoteReply.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sycamore::ownership {
+
+// The tenancy of one backend server, as seen by one of its voters: candidate, holder, evicting
+// holder. Used by the control thread only. Each event returns what to do, in order.
+template<OwnershipRules Rules>
+class BasicTenancy
+{
+public:
+  BasicTenancy(HolderId self, LeaseTimings timings, ServerRow row, base::TimePoint now);
+
+  // At least every 20 ms, and at nextTickAt() for the least delay.
+  TenancyActions tick(base::TimePoint now);
+  TenancyActions onVoteReply(const VoteReply& reply, base::TimePoint now);
+  // Any answer of the server to a grant. A timeout needs no event.
+  TenancyActions onGrantReply(const GrantReply& reply, base::TimePoint now);
+  TenancyActions onReleaseReply(const ReleaseReply& reply, base::TimePoint now);
+  // A heartbeat names its sender as holder, or the own voter has accepted a vote request of it.
+  void onHolderSeen(const HolderId& holder, base::Term term, base::TimePoint now);
+  // A map generation, older ones are ignored. For a server without row: owns nothing, no voters.
+  TenancyActions onMap(const ServerRow& row, base::TimePoint now);
+  // The write asked for by WriteBump has been confirmed with this generation.
+  void onBumpWritten(base::Generation generation, base::TimePoint now);
+
+  // Planned changes. Refused (empty optional) unless Active with no other change under way.
+  std::optional<TenancyActions> startMove(const ShardSet& shards, base::TimePoint now);
+  std::optional<TenancyActions> startVoterChange(std::vector<base::VmId> voters,
+                                                 base::TimePoint now);
+  // Gives a change up before its write was asked for. Returns whether it did.
+  bool abandonChange();
+  // Gives the tenancy up, for a leaving entry VM. Other voters may take it over at once.
+  TenancyActions resign(base::TimePoint now);
+
+  // The grant to send now, with the shards permitted in addition (PermitTable); none if the
+  // tenancy of this term is not held any more. Call it immediately before sending.
+  std::optional<GrantRequest> grantToSend(base::Term term,
+                                          const ShardSet& permitted,
+                                          base::TimePoint now);
+  // Whether requests may be dispatched to the server. Check it immediately before sending.
+  bool mayDispatch(base::TimePoint now) const;
+  // Permits for the holder of the successor; empty unless Evicted.
+  std::optional<Permit> permitFor(const base::ServerId& successor, base::TimePoint now) const;
+
+  TenancyRole role() const { return role_; }
+  base::Term term() const { return term_; }
+  const ServerRow& row() const { return row_; }
+  const std::optional<MapChange>& change() const { return change_; }
+  base::TimePoint nextTickAt() const { return nextTick_; }
+
+private:
+  // Voting.
+  void propose(TenancyActions& actions, base::TimePoint now);
+  void askVotes(TenancyActions& actions, base::TimePoint now, bool resign = false);
+  VoteRequest voteRequest(const base::VmId& voter, base::TimePoint now) const;
+  std::optional<FloorProof> proofFor(const base::VmId& voter, base::TimePoint now) const;
+  void onGranted(const VoteReply& reply, TenancyActions& actions, base::TimePoint now);
+  void onRefused(const VoteReply& reply, TenancyActions& actions, base::TimePoint now);
+  void noteHighest(const VoteReply& reply);
+  void noteEarlierVotes(const VoteReply& reply, base::TimePoint now);
+  void requestBump(TenancyActions& actions, base::TimePoint now);
+  // Roles.
+  void checkVotes(TenancyActions& actions, base::TimePoint now);
+  void becomeHolder(TenancyActions& actions, base::TimePoint now);
+  void stepDown(TenancyActions& actions, base::TimePoint now);
+  void watch(base::TimePoint now);
+  void evictIfSilent(TenancyActions& actions, base::TimePoint now);
+  void becomeEvicted(TenancyActions& actions, base::TimePoint now);
+  void reinstateIfMoved(TenancyActions& actions, base::TimePoint now);
+  void renew(TenancyActions& actions, base::TimePoint now);
+  // Changes of the map.
+  void continueChange(TenancyActions& actions, base::TimePoint now);
+  void raiseFloor(TenancyActions& actions, base::TimePoint now);
+  void writeWhenFloorHeld(TenancyActions& actions, base::TimePoint now);
+  void resolveChange(TenancyActions& actions);
+  void startFailover(TenancyActions& actions, base::TimePoint now);
+  SendRelease releaseAction() const;
+  void useVoters();
+  // State in short.
+  TenancyKind kind() const;
+  bool holds(base::TimePoint now) const;
+  bool writing() const { return change_ && change_->stage == MapChange::Stage::Writing; }
+  base::Duration rankDelay() const;
+
+  HolderId self_;
+  LeaseTimings timings_;
+  ServerRow row_;
+  TenancyRole role_ = TenancyRole::Watching;
+  base::Term term_;
+  base::Term highestTerm_;
+  // Of the highest term heard of.
+  TenancyKind knownKind_ = TenancyKind::Active;
+  base::Generation knownGeneration_;
+  base::Generation knownFloor_;
+  TenancyKind proposedKind_ = TenancyKind::Active;
+  VoteQuorum<Rules> quorum_;
+  GrantClock grants_;
+  base::TimePoint earlierGrantsExpire_;
+  std::optional<std::uint64_t> acceptedDigest_;
+  // The successors that permits name; fixed for the Evicted term.
+  ServerRow permitRow_;
+  ShardSet withheld_;
+  std::optional<MapChange> change_;
+  base::Generation floor_;
+  std::uint64_t nextReleaseId_ = 1;
+  // Runs of voters that need a proof, and those seen before the last bump was asked for.
+  std::map<base::VmId, base::Incarnation> unlearned_;
+  std::map<base::VmId, base::Incarnation> provable_;
+  base::Generation provenGeneration_;
+  base::TimePoint bumpAgainAt_;
+  base::TimePoint proposeAt_;
+  base::TimePoint renewAt_;
+  base::TimePoint nextTick_;
+};
+
+extern template class BasicTenancy<StandardRules>;
+using Tenancy = BasicTenancy<StandardRules>;
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/TenancyKind.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace sycamore::ownership {
+
+// Active: the server serves its shards. Evicted: its successors serve them by permits.
+enum class TenancyKind
+{
+  Active,
+  Evicted
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/TenancyRole.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace sycamore::ownership {
+
+enum class TenancyRole
+{
+  Watching,  // another VM holds the tenancy, or none does
+  Proposing, // asks for votes for a new term
+  Active,    // holds the tenancy and grants the server its shards
+  Evicting,  // holds the tenancy, asks for votes for Evicted, grants nothing any more
+  Evicted    // holds the tenancy and gives permits
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/VoteReply.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <base/Time.h>
+#include <ownership/HolderId.h>
+#include <ownership/TenancyKind.h>
+#include <ownership/VoteAnswer.h>
+
+namespace sycamore::ownership {
+
+// Answers a VoteRequest. The fields up to askedAt repeat the request.
+struct VoteReply
+{
+  base::ServerId server;
+  HolderId holder;
+  base::Term term;
+  TenancyKind kind = TenancyKind::Active;
+  base::TimePoint askedAt;
+
+  base::VmId voter;
+  base::Incarnation voterIncarnation;
+  VoteAnswer answer = VoteAnswer::Granted;
+  base::Term highestTerm;
+  TenancyKind currentKind = TenancyKind::Active;
+  base::Generation currentGeneration;
+  base::Generation floor;
+  // Granted: remaining lifetime of the vote for an earlier term, negative if it has lapsed.
+  // MustWait: when to ask again, counted from the reply.
+  base::Duration remaining{};
+};
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/include/ownership/Voter.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <ownership/LearnReply.h>
+#include <ownership/LearnRequest.h>
+#include <ownership/LeaseTimings.h>
+#include <ownership/OwnershipRules.h>
+#include <ownership/VoteReply.h>
+#include <ownership/VoteRequest.h>
+#include <ownership/VoterRecord.h>
+
+#include <unordered_map>
+#include <vector>
+
+namespace sycamore::ownership {
+
+// The votes of one entry VM for all servers, in memory only (rules V1 to V5 of the design). Used by
+// the control thread only. A batch of requests is answered one by one.
+template<OwnershipRules Rules>
+class BasicVoter
+{
+public:
+  // self must be another incarnation after each start of the process.
+  BasicVoter(HolderId self, LeaseTimings timings, base::TimePoint startedAt);
+
+  VoteReply vote(const VoteRequest& request, base::TimePoint now);
+
+  // Questions to send to other voters. Call it on every tick; lost ones are repeated.
+  std::vector<LearnRequest> learnRequests(base::TimePoint now);
+  LearnReply answer(const LearnRequest& request) const;
+  void onLearnReply(const LearnReply& reply);
+
+  // Drops what is known of a server that has left the map, and returns true; this VM must relearn
+  // before it votes for the server again. Returns false while a vote or a grant may be in force.
+  bool forget(const base::ServerId& server, base::TimePoint now);
+  std::size_t size() const { return records_.size(); }
+
+private:
+  VoterRecord& recordOf(const base::ServerId& server);
+  bool abstaining(base::TimePoint now) const;
+  void startLearning(VoterRecord& record, const VoteRequest& request);
+  bool sameHolder(const HolderId& a, const HolderId& b) const;
+  VoteAnswer judge(const VoterRecord& record,
+                   const VoteRequest& request,
+                   base::TimePoint now) const;
+  base::TimePoint earliest(const VoterRecord& record, const VoteRequest& request) const;
+  void record(VoterRecord& record, const VoteRequest& request, base::TimePoint now);
+
+  HolderId self_;
+  LeaseTimings timings_;
+  base::TimePoint startedAt_;
+  std::unordered_map<base::ServerId, VoterRecord> records_;
+};
+
+extern template class BasicVoter<StandardRules>;
+using Voter = BasicVoter<StandardRules>;
+
+} // namespace sycamore::ownership
