--- /dev/null
+++ b/libs/ownership/benchmarks/RenewalBenchmark.cpp
@@ -0,0 +1,2 @@
+#include <benchmark/benchmark.h>
+
--- a/libs/ownership/include/ownership/PermitTable.h
+++ b/libs/ownership/include/ownership/PermitTable.h
@@ -19,7 +19,7 @@
     } -> std::convertible_to<base::Generation>;
   {
     view.ownedBy(server)
-    } -> std::convertible_to<const ShardSet&>;
+    } -> std::convertible_to<ShardSet>;
 };
 
 // The permits that an entry VM has received for the servers it holds. Used by the control thread
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -35,11 +35,17 @@
   TenancyActions onReleaseReply(const ReleaseReply& reply, base::TimePoint now);
   // A heartbeat names its sender as holder, or the own voter has accepted a vote request of it.
   void onHolderSeen(const HolderId& holder, base::Term term, base::TimePoint now);
+  // The holder has resigned: propose without waiting for silence.
+  void onHolderResigned(const HolderId& holder, base::TimePoint now);
   // A map generation, older ones are ignored. For a server without row: owns nothing, no voters.
   TenancyActions onMap(const ServerRow& row, base::TimePoint now);
   // The write asked for by WriteBump has been confirmed with this generation.
   void onBumpWritten(base::Generation generation, base::TimePoint now);
 
+  // While the platform can't be reached, no change of the map is started: its raised floor would
+  // keep every other VM from taking the tenancy over until the platform is back.
+  void setPlatformReachable(bool reachable) { platformReachable_ = reachable; }
+
   // Planned changes. Refused (empty optional) unless Active with no other change under way.
   std::optional<TenancyActions> startMove(const ShardSet& shards, base::TimePoint now);
   std::optional<TenancyActions> startVoterChange(std::vector<base::VmId> voters,
@@ -69,6 +75,7 @@
   // Voting.
   void propose(TenancyActions& actions, base::TimePoint now);
   void askVotes(TenancyActions& actions, base::TimePoint now, bool resign = false);
+  std::vector<base::VmId> votersToAsk() const;
   VoteRequest voteRequest(const base::VmId& voter, base::TimePoint now) const;
   std::optional<FloorProof> proofFor(const base::VmId& voter, base::TimePoint now) const;
   void onGranted(const VoteReply& reply, TenancyActions& actions, base::TimePoint now);
@@ -81,9 +88,11 @@
   void becomeHolder(TenancyActions& actions, base::TimePoint now);
   void stepDown(TenancyActions& actions, base::TimePoint now);
   void watch(base::TimePoint now);
-  void evictIfSilent(TenancyActions& actions, base::TimePoint now);
+  void evictIfSilent(base::TimePoint now);
   void becomeEvicted(TenancyActions& actions, base::TimePoint now);
   void reinstateIfMoved(TenancyActions& actions, base::TimePoint now);
+  void tickAsHolder(TenancyActions& actions, base::TimePoint now);
+  void scheduleTick(base::TimePoint now);
   void renew(TenancyActions& actions, base::TimePoint now);
   // Changes of the map.
   void continueChange(TenancyActions& actions, base::TimePoint now);
@@ -96,6 +105,9 @@
   // State in short.
   TenancyKind kind() const;
   bool holds(base::TimePoint now) const;
+  bool isVoter() const;
+  bool needsNewTerm(TenancyKind kind) const;
+  ShardSet shardsToGrant(const ShardSet& permitted) const;
   bool writing() const { return change_ && change_->stage == MapChange::Stage::Writing; }
   base::Duration rankDelay() const;
 
@@ -124,6 +136,14 @@
   std::map<base::VmId, base::Incarnation> unlearned_;
   std::map<base::VmId, base::Incarnation> provable_;
   base::Generation provenGeneration_;
+  std::map<base::Generation, std::map<base::VmId, base::Incarnation>> bumps_;
+  base::VmId knownHolder_;
+  bool platformReachable_ = true;
+  std::uint64_t sentDigest_ = 0;
+  base::TimePoint lastAnswerAt_;
+  base::TimePoint proposingSince_;
+  base::TimePoint evictBy_;
+  base::TimePoint reinstateAt_;
   base::TimePoint bumpAgainAt_;
   base::TimePoint proposeAt_;
   base::TimePoint renewAt_;
--- a/libs/ownership/include/ownership/VoterRecord.h
+++ b/libs/ownership/include/ownership/VoterRecord.h
@@ -21,6 +21,8 @@
   base::Generation floor;
   // No vote of this VM is valid after this, on any clock.
   base::TimePoint until;
+  // The same of the votes for terms before this one.
+  base::TimePoint earlierUntil;
   bool resigned = false;
   bool learned = false;
   // Relearning: the peers that have answered the current round, with the highest values seen.
--- /dev/null
+++ b/libs/ownership/src/GrantRegister.cpp
@@ -0,0 +1,7 @@
+#include "GrantRegisterImpl.h"
+
+namespace sycamore::ownership {
+
+template class BasicGrantRegister<StandardRules>;
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/LeaseTimings.cpp
@@ -0,0 +1,82 @@
+#include <ownership/LeaseTimings.h>
+
+#include <ownership/OwnershipError.h>
+
+namespace sycamore::ownership {
+
+namespace {
+
+void require(bool condition, const char* message)
+{
+  if (!condition) {
+    throw OwnershipError(message);
+  }
+}
+
+} // namespace
+
+base::Duration LeaseTimings::waitFor(base::Duration span) const
+{
+  return span + span * driftPercent_ / 100 + driftSlack_;
+}
+
+base::Duration LeaseTimings::surelyPassed(base::Duration span) const
+{
+  return span * 100 / (100 + driftPercent_);
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::renewalInterval(base::Duration value)
+{
+  timings_.renewalInterval_ = value;
+  return *this;
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::voteLifetime(base::Duration value)
+{
+  timings_.voteLifetime_ = value;
+  return *this;
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::grantLifetime(base::Duration value)
+{
+  timings_.grantLifetime_ = value;
+  return *this;
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::holderSilence(base::Duration value)
+{
+  timings_.holderSilence_ = value;
+  return *this;
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::candidateStagger(base::Duration value)
+{
+  timings_.candidateStagger_ = value;
+  return *this;
+}
+
+LeaseTimings::Builder& LeaseTimings::Builder::drift(int percent, base::Duration slack)
+{
+  timings_.driftPercent_ = percent;
+  timings_.driftSlack_ = slack;
+  return *this;
+}
+
+LeaseTimings LeaseTimings::Builder::build() const
+{
+  const base::Duration zero{};
+  require(timings_.renewalInterval_ > zero, "the renewal interval must be positive");
+  require(timings_.holderSilence_ > zero, "the silence of a holder must be positive");
+  require(timings_.candidateStagger_ > zero, "the stagger of candidates must be positive");
+  require(timings_.driftPercent_ >= 0 && timings_.driftPercent_ <= 50,
+          "the drift must be between 0 and 50 percent");
+  require(timings_.driftSlack_ >= zero, "the drift slack must not be negative");
+  require(timings_.voteLifetime_ >= 3 * timings_.renewalInterval_,
+          "a vote must last at least three renewal intervals");
+  require(timings_.grantLifetime_ >= timings_.voteLifetime_ + timings_.renewalInterval_,
+          "a grant must outlast a vote by a renewal interval, or each change of holder stops the "
+          "server");
+  return timings_;
+}
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/PermitTable.cpp
@@ -0,0 +1,7 @@
+#include "PermitTableImpl.h"
+
+namespace sycamore::ownership {
+
+template class BasicPermitTable<StandardRules>;
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/Tenancy.cpp
@@ -0,0 +1,7 @@
+#include "TenancyImpl.h"
+
+namespace sycamore::ownership {
+
+template class BasicTenancy<StandardRules>;
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/TenancyChanges.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <ownership/Tenancy.h>
+
+#include <algorithm>
+
+namespace sycamore::ownership {
+
+template<OwnershipRules Rules>
+std::optional<TenancyActions> BasicTenancy<Rules>::startMove(const ShardSet& shards,
+                                                             base::TimePoint now)
+{
+  const bool free = mayDispatch(now) && !change_ && platformReachable_;
+  if (!free || shards.empty() || !row_.owned.containsAll(shards)) {
+    return std::nullopt;
+  }
+  change_ = MapChange{ ChangeKind::Move, MapChange::Stage::Releasing, row_.generation, shards, {},
+                       nextReleaseId_++ };
+  return TenancyActions{ releaseAction() };
+}
+
+template<OwnershipRules Rules>
+std::optional<TenancyActions> BasicTenancy<Rules>::startVoterChange(std::vector<base::VmId> voters,
+                                                                    base::TimePoint now)
+{
+  if (!holds(now) || change_ || !platformReachable_ || voters.empty() ||
+      role_ == TenancyRole::Evicting) {
+    return std::nullopt;
+  }
+  change_ = MapChange{ ChangeKind::Voters, MapChange::Stage::RaisingFloor,
+                       row_.generation,    {},
+                       std::move(voters),  0 };
+  TenancyActions actions;
+  raiseFloor(actions, now);
+  return actions;
+}
+
+template<OwnershipRules Rules>
+bool BasicTenancy<Rules>::abandonChange()
+{
+  if (!change_ || writing()) {
+    return false;
+  }
+  change_.reset();
+  return true;
+}
+
+template<OwnershipRules Rules>
+SendRelease BasicTenancy<Rules>::releaseAction() const
+{
+  return SendRelease{ { row_.server, self_, term_, change_->releaseId, change_->shards } };
+}
+
+template<OwnershipRules Rules>
+TenancyActions BasicTenancy<Rules>::onReleaseReply(const ReleaseReply& reply, base::TimePoint now)
+{
+  TenancyActions actions;
+  const bool awaited = change_ && change_->stage == MapChange::Stage::Releasing &&
+                       reply.id == change_->releaseId && reply.term == term_;
+  if (awaited && reply.released && reply.server == row_.server) {
+    raiseFloor(actions, now);
+    continueChange(actions, now);
+  }
+  return actions;
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::raiseFloor(TenancyActions& actions, base::TimePoint now)
+{
+  change_->stage = MapChange::Stage::RaisingFloor;
+  change_->base = row_.generation;
+  floor_ = base::Generation(row_.generation.value() + 1);
+  if (Rules::kRaiseFloor) {
+    askVotes(actions, now);
+  } else {
+    floor_ = {};
+  }
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::continueChange(TenancyActions& actions, base::TimePoint now)
+{
+  if (!change_ || change_->stage != MapChange::Stage::RaisingFloor || !holds(now)) {
+    return;
+  }
+  if (change_->base < row_.generation) {
+    raiseFloor(actions, now);
+  }
+  writeWhenFloorHeld(actions, now);
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::writeWhenFloorHeld(TenancyActions& actions, base::TimePoint now)
+{
+  change_->stage = MapChange::Stage::Writing;
+  // From the write on, majorities of the old and the new voters are needed.
+  useVoters();
+  if (!holds(now) || !quorum_.hasFloor(floor_, now)) {
+    change_->stage = MapChange::Stage::RaisingFloor;
+    useVoters();
+    return;
+  }
+  actions.push_back(WriteMap{ change_->kind, change_->base, change_->shards, change_->voters });
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::resolveChange(TenancyActions& actions)
+{
+  if (writing() && row_.generation > change_->base) {
+    actions.push_back(ChangeResolved{ change_->kind });
+    change_.reset();
+  }
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::startFailover(TenancyActions& actions, base::TimePoint now)
+{
+  const bool due = role_ == TenancyRole::Evicted && !change_ && !row_.owned.empty();
+  if (!due || !platformReachable_) {
+    return;
+  }
+  change_ = MapChange{
+    ChangeKind::Failover, MapChange::Stage::RaisingFloor, row_.generation, row_.owned, {}, 0
+  };
+  raiseFloor(actions, now);
+  continueChange(actions, now);
+}
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/TenancyRoles.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <ownership/Tenancy.h>
+
+#include <algorithm>
+
+namespace sycamore::ownership {
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::checkVotes(TenancyActions& actions, base::TimePoint now)
+{
+  const bool valid = quorum_.valid(kind(), now);
+  switch (role_) {
+    case TenancyRole::Proposing:
+      if (valid && proposedKind_ == TenancyKind::Active) {
+        becomeHolder(actions, now);
+      } else if (valid) {
+        becomeEvicted(actions, now);
+      }
+      break;
+    case TenancyRole::Evicting:
+      if (valid) {
+        becomeEvicted(actions, now);
+      } else if (now >= evictBy_) {
+        stepDown(actions, now);
+      }
+      break;
+    case TenancyRole::Active:
+    case TenancyRole::Evicted:
+      if (!valid) {
+        stepDown(actions, now);
+      }
+      break;
+    case TenancyRole::Watching:
+      break;
+  }
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::becomeHolder(TenancyActions& actions, base::TimePoint now)
+{
+  role_ = TenancyRole::Active;
+  grants_.reset(earlierGrantsExpire_);
+  acceptedDigest_.reset();
+  lastAnswerAt_ = now;
+  change_.reset();
+  floor_ = {};
+  withheld_ = {};
+  actions.push_back(BecameHolder{ term_ });
+  actions.push_back(SendGrant{ term_ });
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::becomeEvicted(TenancyActions& actions, base::TimePoint now)
+{
+  if (role_ == TenancyRole::Proposing) {
+    change_.reset();
+    floor_ = {};
+    withheld_ = {};
+  }
+  role_ = TenancyRole::Evicted;
+  actions.push_back(Evicted{ term_ });
+  startFailover(actions, now);
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::stepDown(TenancyActions& actions, base::TimePoint now)
+{
+  actions.push_back(LostTenancy{ term_ });
+  change_.reset();
+  useVoters();
+  quorum_.clear();
+  knownHolder_ = self_.vm;
+  watch(now);
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::watch(base::TimePoint now)
+{
+  role_ = TenancyRole::Watching;
+  proposeAt_ = now + timings_.holderSilence() + rankDelay();
+  nextTick_ = proposeAt_;
+}
+
+// The last known holder proposes after all others.
+template<OwnershipRules Rules>
+base::Duration BasicTenancy<Rules>::rankDelay() const
+{
+  int rank = 0;
+  for (const base::VmId& voter : row_.voters) {
+    if (voter == self_.vm && knownHolder_ != self_.vm) {
+      break;
+    }
+    rank += voter != knownHolder_ ? 1 : 0;
+  }
+  return rank * timings_.candidateStagger();
+}
+
+// The server keeps its shards while any grant may be in force, and has this long to answer a new
+// holder: a stall of 300 ms plus one renewal.
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::evictIfSilent(base::TimePoint now)
+{
+  const base::TimePoint answerBy =
+    lastAnswerAt_ + timings_.voteLifetime() + timings_.renewalInterval();
+  const bool expired = grants_.allExpired(now) || !Rules::kWaitOutGrants;
+  if (role_ != TenancyRole::Active || !expired || now < answerBy || row_.owned.empty()) {
+    return;
+  }
+  withheld_ = {};
+  if (writing() && Rules::kWithholdShardsInDoubt) {
+    withheld_ = change_->shards;
+  }
+  if (!writing()) {
+    change_.reset();
+  }
+  permitRow_ = row_;
+  role_ = TenancyRole::Evicting;
+  evictBy_ = now + 2 * timings_.voteLifetime();
+  renewAt_ = now;
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::renew(TenancyActions& actions, base::TimePoint now)
+{
+  renewAt_ = now + timings_.renewalInterval();
+  askVotes(actions, now);
+  if (role_ == TenancyRole::Active) {
+    actions.push_back(SendGrant{ term_ });
+  }
+  if (change_ && change_->stage == MapChange::Stage::Releasing) {
+    actions.push_back(releaseAction());
+  }
+}
+
+// An evicted server without shards may serve again. The permits stay for a while, until the
+// holders of the successors have the new map.
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::reinstateIfMoved(TenancyActions& actions, base::TimePoint now)
+{
+  const bool moved = row_.owned.empty() && row_.generation > permitRow_.generation;
+  if (role_ != TenancyRole::Evicted || change_ || !moved) {
+    reinstateAt_ = base::TimePoint::max();
+    return;
+  }
+  if (reinstateAt_ == base::TimePoint::max()) {
+    reinstateAt_ = now + 2 * timings_.grantLifetime();
+  }
+  if (now < reinstateAt_) {
+    return;
+  }
+  reinstateAt_ = base::TimePoint::max();
+  knownKind_ = TenancyKind::Evicted;
+  knownGeneration_ = permitRow_.generation;
+  stepDown(actions, now);
+  proposeAt_ = now + timings_.renewalInterval();
+}
+
+template<OwnershipRules Rules>
+TenancyActions BasicTenancy<Rules>::resign(base::TimePoint now)
+{
+  TenancyActions actions;
+  if (!holds(now)) {
+    return actions;
+  }
+  askVotes(actions, now, true);
+  stepDown(actions, now);
+  proposeAt_ += 2 * timings_.voteLifetime();
+  return actions;
+}
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/TenancyVotes.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <ownership/Tenancy.h>
+
+#include <algorithm>
+#include <type_traits>
+
+namespace sycamore::ownership {
+
+// Asks for a new term, or again for the term already asked for. The own vote is asked for when
+// another voter has agreed: a VM that is cut off must not raise the term at its own voter alone.
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::propose(TenancyActions& actions, base::TimePoint now)
+{
+  const bool proposing = role_ == TenancyRole::Proposing;
+  role_ = TenancyRole::Proposing;
+  renewAt_ = now + timings_.renewalInterval();
+  if (row_.generation < knownFloor_ || now >= proposingSince_ + 2 * timings_.voteLifetime()) {
+    requestBump(actions, now);
+  }
+  const bool evicted = knownKind_ == TenancyKind::Evicted && knownGeneration_ == row_.generation &&
+                       !row_.owned.empty();
+  const TenancyKind wanted = evicted ? TenancyKind::Evicted : TenancyKind::Active;
+  if (!proposing || needsNewTerm(wanted)) {
+    highestTerm_ = std::max(highestTerm_, term_);
+    term_ = base::Term(highestTerm_.value() + 1);
+    proposedKind_ = wanted;
+    permitRow_ = row_;
+    earlierGrantsExpire_ = {};
+    quorum_.clear();
+  }
+  askVotes(actions, now);
+}
+
+// A term has one kind and, if it is Evicted, one map generation.
+template<OwnershipRules Rules>
+bool BasicTenancy<Rules>::needsNewTerm(TenancyKind wanted) const
+{
+  return term_ <= highestTerm_ || wanted != proposedKind_ ||
+         (wanted == TenancyKind::Evicted && permitRow_.generation != row_.generation);
+}
+
+template<OwnershipRules Rules>
+std::vector<base::VmId> BasicTenancy<Rules>::votersToAsk() const
+{
+  std::vector<base::VmId> result = row_.voters;
+  if (change_ && change_->kind == ChangeKind::Voters) {
+    for (const base::VmId& voter : change_->voters) {
+      if (std::find(result.begin(), result.end(), voter) == result.end()) {
+        result.push_back(voter);
+      }
+    }
+  }
+  return result;
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::askVotes(TenancyActions& actions, base::TimePoint now, bool resign)
+{
+  const std::vector<base::VmId> voters = votersToAsk();
+  const bool others = role_ == TenancyRole::Proposing && voters.size() > 1;
+  for (const base::VmId& voter : voters) {
+    if (others && voter == self_.vm) {
+      continue;
+    }
+    SendVote action{ voter, voteRequest(voter, now) };
+    action.request.resign = resign;
+    actions.push_back(std::move(action));
+  }
+}
+
+template<OwnershipRules Rules>
+VoteRequest BasicTenancy<Rules>::voteRequest(const base::VmId& voter, base::TimePoint now) const
+{
+  VoteRequest request;
+  request.server = row_.server;
+  request.holder = self_;
+  request.term = term_;
+  request.kind = kind();
+  request.generation =
+    request.kind == TenancyKind::Evicted ? permitRow_.generation : row_.generation;
+  request.floor = holds(now) ? floor_ : base::Generation();
+  if (std::find(row_.voters.begin(), row_.voters.end(), voter) != row_.voters.end()) {
+    std::copy_if(row_.voters.begin(),
+                 row_.voters.end(),
+                 std::back_inserter(request.peers),
+                 [&](const base::VmId& peer) { return peer != voter; });
+  }
+  request.proof = proofFor(voter, now);
+  request.askedAt = now;
+  return request;
+}
+
+template<OwnershipRules Rules>
+std::optional<FloorProof> BasicTenancy<Rules>::proofFor(const base::VmId& voter,
+                                                        base::TimePoint now) const
+{
+  const auto run = unlearned_.find(voter);
+  if (run == unlearned_.end()) {
+    return std::nullopt;
+  }
+  const bool inForce =
+    std::find(row_.voters.begin(), row_.voters.end(), voter) != row_.voters.end();
+  if (!inForce) {
+    // Only the holder changes the voters, so this one is not needed yet by any map in force.
+    return holds(now) ? std::optional(FloorProof{ run->second, row_.generation }) : std::nullopt;
+  }
+  const auto provable = provable_.find(voter);
+  if (provable == provable_.end() || provable->second != run->second) {
+    return std::nullopt;
+  }
+  return FloorProof{ run->second, provenGeneration_ };
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::noteHighest(const VoteReply& reply)
+{
+  knownFloor_ = std::max(knownFloor_, reply.floor);
+  if (reply.highestTerm < highestTerm_ || reply.highestTerm == term_) {
+    return;
+  }
+  highestTerm_ = reply.highestTerm;
+  knownKind_ = reply.currentKind;
+  knownGeneration_ = reply.currentGeneration;
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::noteEarlierVotes(const VoteReply& reply, base::TimePoint now)
+{
+  const bool lapsed = reply.remaining < base::Duration{};
+  const base::Duration remaining =
+    lapsed ? -timings_.surelyPassed(-reply.remaining) : timings_.waitFor(reply.remaining);
+  earlierGrantsExpire_ =
+    std::max(earlierGrantsExpire_, now + remaining + timings_.waitFor(timings_.grantLifetime()));
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::onGranted(const VoteReply& reply,
+                                    TenancyActions& actions,
+                                    base::TimePoint now)
+{
+  unlearned_.erase(reply.voter);
+  quorum_.add(reply.voter, { reply.kind, reply.floor, reply.askedAt + timings_.voteLifetime() });
+  if (role_ == TenancyRole::Proposing) {
+    noteEarlierVotes(reply, now);
+    if (reply.voter != self_.vm) {
+      actions.push_back(SendVote{ self_.vm, voteRequest(self_.vm, now) });
+    }
+  }
+  checkVotes(actions, now);
+  continueChange(actions, now);
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::onRefused(const VoteReply& reply,
+                                    TenancyActions& actions,
+                                    base::TimePoint now)
+{
+  const bool proposing = role_ == TenancyRole::Proposing;
+  switch (reply.answer) {
+    case VoteAnswer::Unlearned:
+      unlearned_[reply.voter] = reply.voterIncarnation;
+      if (proposing && unlearned_.size() >= 2) {
+        requestBump(actions, now);
+      }
+      break;
+    case VoteAnswer::StaleTerm:
+      quorum_.remove(reply.voter);
+      if (proposing) {
+        highestTerm_ = std::max(highestTerm_, term_);
+        watch(now);
+      }
+      break;
+    case VoteAnswer::StaleMap:
+      if (proposing && row_.generation < reply.floor) {
+        requestBump(actions, now);
+      }
+      break;
+    case VoteAnswer::MustWait:
+      if (proposing) {
+        const base::Duration wait =
+          std::max<base::Duration>(reply.remaining, base::milliseconds(1));
+        renewAt_ = std::min(renewAt_, now + wait);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::requestBump(TenancyActions& actions, base::TimePoint now)
+{
+  if (now < bumpAgainAt_) {
+    return;
+  }
+  bumpAgainAt_ = now + timings_.voteLifetime();
+  // Kept from the first request for this generation: the write may have begun then.
+  bumps_.try_emplace(row_.generation, unlearned_);
+  actions.push_back(WriteBump{ row_.generation });
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::onBumpWritten(base::Generation generation, base::TimePoint now)
+{
+  const auto bump = bumps_.find(base::Generation(generation.value() - 1));
+  if (bump == bumps_.end() || generation < provenGeneration_) {
+    return;
+  }
+  provenGeneration_ = generation;
+  provable_ = bump->second;
+  bumps_.erase(bumps_.begin(), std::next(bump));
+  renewAt_ = std::min(renewAt_, now);
+}
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/src/Voter.cpp
@@ -0,0 +1,7 @@
+#include "VoterImpl.h"
+
+namespace sycamore::ownership {
+
+template class BasicVoter<StandardRules>;
+
+} // namespace sycamore::ownership
--- /dev/null
+++ b/libs/ownership/tests/model/Model.h
@@ -0,0 +1,620 @@
+#pragma once
+
+#include "FakePlatform.h"
+#include "HistoryChecker.h"
+#include "ModelServer.h"
+#include "ModelVm.h"
+#include "Network.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sycamore::ownership::model {
+
+// Entry VMs, backend servers, a platform and a network, driven by events in virtual time.
+template<OwnershipRules Rules>
+class Model
+{
+public:
+  using Vm = ModelVm<Rules>;
+  using Server = ModelServer<Rules>;
+  using milliseconds = base::milliseconds;
+
+  Model(std::uint64_t seed, int vms, int servers, int shards)
+    : random_(seed)
+    , network_(events_, random_)
+    , platform_(events_, network_, vms + servers, firstMap(vms, servers, shards))
+  {
+    for (int i = 0; i < vms; ++i) {
+      runs_.push_back(1);
+      pausedUntil_.push_back({});
+      vms_.push_back(std::make_unique<Vm>(i, 1, randomClock(), base::Duration{}, platform_.current()));
+      startTimers(i);
+    }
+    for (int i = 0; i < servers; ++i) {
+      servers_.emplace_back(i, randomClock());
+      scheduleWork(i);
+    }
+  }
+
+  EventQueue& events() { return events_; }
+  Network& network() { return network_; }
+  FakePlatform& platform() { return platform_; }
+  std::mt19937_64& random() { return random_; }
+  HistoryChecker& checker() { return checker_; }
+  Server& server(int index) { return servers_[index]; }
+  Vm* vm(int index) { return vms_[index].get(); }
+  int vmCount() const { return static_cast<int>(vms_.size()); }
+  int serverCount() const { return static_cast<int>(servers_.size()); }
+  int shardCount() const { return static_cast<int>(platform_.current()->shards.size()); }
+  int serverNode(int server) const { return vmCount() + server; }
+
+  // Work that delays a grant between the decision to send it and the sending.
+  void setWorkerDelay(double probability) { workerDelay_ = probability; }
+
+  bool runUntil(base::Duration end)
+  {
+    while (!checker_.violation() && events_.step(end)) {
+    }
+    return !checker_.violation();
+  }
+
+  int pick(int below) { return std::uniform_int_distribution<>(0, below - 1)(random_); }
+
+  void pauseVm(int vm, base::Duration span) { pausedUntil_[vm] = events_.now() + span; }
+
+  void restartVm(int vm, base::Duration down)
+  {
+    vms_[vm].reset();
+    ++runs_[vm];
+    events_.after(down, [this, vm, run = runs_[vm]] {
+      if (runs_[vm] == run) {
+        vms_[vm] = std::make_unique<Vm>(vm, run, randomClock(), events_.now(), anyMap());
+        startTimers(vm);
+      }
+    });
+  }
+
+  void freezeServer(int server, base::Duration span)
+  {
+    servers_[server].frozenUntil = events_.now() + span;
+  }
+
+  void restartServer(int server, base::Duration down)
+  {
+    servers_[server].up = false;
+    servers_[server].restart(randomClock(), events_.now());
+    events_.after(down, [this, server] { servers_[server].up = true; });
+  }
+
+  int holderOf(int server) const
+  {
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+      if (vms_[i] && vms_[i]->seats[server].tenancy.mayDispatch(local(i))) {
+        return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
+
+  void planMove(int server, int target)
+  {
+    const int holder = holderOf(server);
+    if (holder < 0 || target == server) {
+      return;
+    }
+    auto& seat = vms_[holder]->seats[server];
+    ShardSet shards;
+    for (const auto& range : seat.tenancy.row().owned.ranges()) {
+      shards.insert(base::ShardId(range.first));
+    }
+    seat.moveTarget = target;
+    if (const auto actions = seat.tenancy.startMove(shards, local(holder))) {
+      apply(holder, server, *actions);
+    }
+  }
+
+  void planVoterChange(int server)
+  {
+    const int holder = holderOf(server);
+    if (holder < 0) {
+      return;
+    }
+    auto& seat = vms_[holder]->seats[server];
+    std::vector<base::VmId> voters = seat.tenancy.row().voters;
+    const base::VmId joining = Vm::name(pick(vmCount()));
+    if (std::find(voters.begin(), voters.end(), joining) == voters.end()) {
+      voters[pick(static_cast<int>(voters.size()))] = joining;
+      if (const auto actions = seat.tenancy.startVoterChange(voters, local(holder))) {
+        apply(holder, server, *actions);
+      }
+    }
+  }
+
+  void resign(int server)
+  {
+    const int holder = holderOf(server);
+    if (holder >= 0) {
+      apply(holder, server, vms_[holder]->seats[server].tenancy.resign(local(holder)));
+    }
+  }
+
+  // Shards that no server may execute now.
+  std::vector<std::uint32_t> unserved() const
+  {
+    std::vector<std::uint32_t> result;
+    for (int shard = 0; shard < shardCount(); ++shard) {
+      const bool served = std::any_of(servers_.begin(), servers_.end(), [&](const Server& server) {
+        return server.mayExecute(static_cast<std::uint32_t>(shard), events_.now());
+      });
+      if (!served) {
+        result.push_back(static_cast<std::uint32_t>(shard));
+      }
+    }
+    return result;
+  }
+
+  // An acknowledged write must be the one that the platform has under its generation.
+  void checkAcknowledged()
+  {
+    for (const auto& [generation, writer] : acknowledged_) {
+      const MapPtr& map = platform_.history().at(generation.value() - 1);
+      if (map->writer != writer) {
+        checker_.fail(events_.now(), "acknowledged generation ", generation, " was lost");
+      }
+    }
+  }
+
+  std::size_t acknowledgedCount() const { return acknowledged_.size(); }
+  std::size_t commits() const { return commits_; }
+
+private:
+  static MapPtr firstMap(int vms, int servers, int shards)
+  {
+    auto map = std::make_shared<ModelMap>();
+    map->generation = base::Generation(1);
+    map->writer = "first";
+    for (int i = 0; i < shards; ++i) {
+      const int owner = i % servers;
+      map->shards.push_back({ owner, (owner + 1 + (i / servers) % (servers - 1)) % servers });
+    }
+    for (int server = 0; server < servers; ++server) {
+      map->voters.emplace_back();
+      for (int i = 0; i < 3; ++i) {
+        map->voters.back().push_back(Vm::name((server + i) % vms));
+      }
+    }
+    return map;
+  }
+
+  ModelClock randomClock()
+  {
+    const auto offset = std::uniform_int_distribution<std::int64_t>(1, 1'000'000'000'000)(random_);
+    // Any two rates are within 1% of each other.
+    return { base::Duration(offset), std::uniform_real_distribution<>(0.9952, 1.0048)(random_) };
+  }
+
+  base::TimePoint local(std::size_t vm) const { return vms_[vm]->clock.at(events_.now()); }
+
+  // A restarted VM gets a map from a peer or, if there is none, from the platform.
+  MapPtr anyMap()
+  {
+    for (const auto& vm : vms_) {
+      if (vm) {
+        return vm->map;
+      }
+    }
+    return platform_.current();
+  }
+
+  // Runs an event in a VM when it is not paused; run 0 means any run of the process.
+  void inVm(int vm, std::uint64_t run, EventQueue::Event event)
+  {
+    if (!vms_[vm] || (run != 0 && runs_[vm] != run)) {
+      return;
+    }
+    if (events_.now() < pausedUntil_[vm]) {
+      events_.at(pausedUntil_[vm], [this, vm, run, event] { inVm(vm, run, event); });
+      return;
+    }
+    event();
+  }
+
+  void toVm(int from, int to, std::uint64_t run, EventQueue::Event event)
+  {
+    if (from == to) {
+      inVm(to, run, std::move(event));
+      return;
+    }
+    network_.send(from, to, [this, to, run, event = std::move(event)] { inVm(to, run, event); });
+  }
+
+  void toServer(int from, int server, EventQueue::Event event)
+  {
+    network_.send(
+      from, serverNode(server), [this, server, event = std::move(event)] { inServer(server, event); });
+  }
+
+  void inServer(int server, EventQueue::Event event)
+  {
+    Server& target = servers_[server];
+    if (!target.up) {
+      return;
+    }
+    if (events_.now() < target.frozenUntil) {
+      events_.at(target.frozenUntil, [this, server, event] { inServer(server, event); });
+      return;
+    }
+    event();
+  }
+
+  // Timers.
+
+  void startTimers(int vm)
+  {
+    const std::uint64_t run = runs_[vm];
+    events_.after(milliseconds(pick(100)), [this, vm, run] { tickLoop(vm, run); });
+    events_.after(milliseconds(pick(250)), [this, vm, run] { heartbeatLoop(vm, run); });
+    events_.after(milliseconds(pick(100)), [this, vm, run] { permitLoop(vm, run); });
+  }
+
+  void tickLoop(int vm, std::uint64_t run)
+  {
+    inVm(vm, run, [this, vm, run] {
+      tick(vm);
+      base::TimePoint next = local(vm) + milliseconds(50);
+      for (const auto& seat : vms_[vm]->seats) {
+        next = std::min(next, seat.tenancy.nextTickAt());
+      }
+      const base::Duration wait =
+        std::max<base::Duration>(vms_[vm]->clock.realSpan(next - local(vm)), milliseconds(1));
+      events_.after(wait, [this, vm, run] { tickLoop(vm, run); });
+    });
+  }
+
+  void tick(int vm)
+  {
+    Vm& node = *vms_[vm];
+    for (int server = 0; server < serverCount(); ++server) {
+      node.seats[server].tenancy.setPlatformReachable(platform_.reachable());
+      apply(vm, server, node.seats[server].tenancy.tick(local(vm)));
+      retryWrite(vm, server);
+    }
+    for (const LearnRequest& request : node.voter.learnRequests(local(vm))) {
+      sendLearn(vm, request);
+    }
+    node.permits.dropExpired(local(vm));
+  }
+
+  void heartbeatLoop(int vm, std::uint64_t run)
+  {
+    inVm(vm, run, [this, vm, run] {
+      for (int peer = 0; peer < vmCount(); ++peer) {
+        if (peer != vm) {
+          toVm(vm, peer, 0, [this, vm, peer, map = vms_[vm]->map, held = held(vm)] {
+            adopt(peer, map);
+            for (const auto& [server, holder, term] : held) {
+              vms_[peer]->seats[server].tenancy.onHolderSeen(holder, term, local(peer));
+            }
+          });
+        }
+      }
+      events_.after(milliseconds(250), [this, vm, run] { heartbeatLoop(vm, run); });
+    });
+  }
+
+  std::vector<std::tuple<int, HolderId, base::Term>> held(int vm) const
+  {
+    std::vector<std::tuple<int, HolderId, base::Term>> result;
+    for (int server = 0; server < serverCount(); ++server) {
+      const auto& tenancy = vms_[vm]->seats[server].tenancy;
+      if (tenancy.role() != TenancyRole::Watching && tenancy.role() != TenancyRole::Proposing) {
+        result.emplace_back(server, vms_[vm]->self, tenancy.term());
+      }
+    }
+    return result;
+  }
+
+  void permitLoop(int vm, std::uint64_t run)
+  {
+    inVm(vm, run, [this, vm, run] {
+      askPermits(vm);
+      events_.after(milliseconds(100), [this, vm, run] { permitLoop(vm, run); });
+    });
+  }
+
+  void askPermits(int vm)
+  {
+    for (int server = 0; server < serverCount(); ++server) {
+      if (!vms_[vm]->seats[server].tenancy.mayDispatch(local(vm))) {
+        continue;
+      }
+      for (int peer = 0; peer < vmCount(); ++peer) {
+        toVm(vm, peer, 0, [this, vm, peer, server, run = runs_[vm], askedAt = local(vm)] {
+          answerPermit(peer, vm, run, server, askedAt);
+        });
+      }
+    }
+  }
+
+  void answerPermit(int vm, int asker, std::uint64_t run, int successor, base::TimePoint askedAt)
+  {
+    for (const auto& seat : vms_[vm]->seats) {
+      const auto permit = seat.tenancy.permitFor(ModelMap::id(successor), local(vm));
+      if (permit) {
+        toVm(vm, asker, run, [this, asker, successor, permit = *permit, askedAt] {
+          vms_[asker]->permits.apply(permit, askedAt);
+          const auto& tenancy = vms_[asker]->seats[successor].tenancy;
+          sendGrant(asker, successor, tenancy.term());
+        });
+      }
+    }
+  }
+
+  // Actions.
+
+  void apply(int vm, int server, const TenancyActions& actions)
+  {
+    for (const TenancyAction& action : actions) {
+      std::visit([&](const auto& item) { perform(vm, server, item); }, action);
+    }
+  }
+
+  void perform(int vm, int server, const SendVote& action)
+  {
+    const int to = Vm::number(action.to);
+    toVm(vm, to, 0, [this, vm, to, server, run = runs_[vm], request = action.request] {
+      const VoteReply reply = vms_[to]->voter.vote(request, local(to));
+      if (reply.answer == VoteAnswer::Granted) {
+        auto& tenancy = vms_[to]->seats[server].tenancy;
+        if (request.resign) {
+          tenancy.onHolderResigned(request.holder, local(to));
+        } else {
+          tenancy.onHolderSeen(request.holder, request.term, local(to));
+        }
+      }
+      toVm(to, vm, run, [this, vm, server, reply] {
+        apply(vm, server, vms_[vm]->seats[server].tenancy.onVoteReply(reply, local(vm)));
+      });
+    });
+  }
+
+  void perform(int vm, int server, const SendGrant& action) { sendGrant(vm, server, action.term); }
+
+  void sendGrant(int vm, int server, base::Term term)
+  {
+    const bool delayed = network_.chance(workerDelay_);
+    const base::Duration delay = delayed ? milliseconds(pick(1500)) : milliseconds(0);
+    const std::uint64_t run = runs_[vm];
+    auto send = [this, vm, server, run, term] {
+      Vm& node = *vms_[vm];
+      const ShardSet extra = node.permits.grantable(ModelMap::id(server), node, local(vm));
+      const auto request = node.seats[server].tenancy.grantToSend(term, extra, local(vm));
+      if (request) {
+        toServer(vm, server, [this, vm, server, run, request = *request] {
+          onGrant(vm, server, run, request);
+        });
+      }
+    };
+    if (delayed) {
+      events_.after(delay, [this, vm, run, send] { inVm(vm, run, send); });
+    } else {
+      send();
+    }
+  }
+
+  void onGrant(int vm, int server, std::uint64_t run, const GrantRequest& request)
+  {
+    const GrantReply reply = servers_[server].grant(request, events_.now(), checker_);
+    if (reply.accepted) {
+      checkOverlap(server);
+    }
+    network_.send(serverNode(server), vm, [this, vm, server, run, reply] {
+      inVm(vm, run, [this, vm, server, reply] {
+        apply(vm, server, vms_[vm]->seats[server].tenancy.onGrantReply(reply, local(vm)));
+      });
+    });
+  }
+
+  void perform(int vm, int server, const SendRelease& action)
+  {
+    toServer(vm, server, [this, vm, server, run = runs_[vm], request = action.request] {
+      const ReleaseReply reply = servers_[server].release(request, events_.now());
+      network_.send(serverNode(server), vm, [this, vm, server, run, reply] {
+        inVm(vm, run, [this, vm, server, reply] {
+          apply(vm, server, vms_[vm]->seats[server].tenancy.onReleaseReply(reply, local(vm)));
+        });
+      });
+    });
+  }
+
+  void perform(int, int, const BecameHolder&) {}
+  void perform(int vm, int server, const LostTenancy&) { vms_[vm]->seats[server].write.reset(); }
+  void perform(int vm, int server, const ChangeResolved&) { vms_[vm]->seats[server].write.reset(); }
+
+  void perform(int vm, int, const Evicted&)
+  {
+    for (int peer = 0; peer < vmCount(); ++peer) {
+      toVm(vm, peer, 0, [this, peer] { askPermits(peer); });
+    }
+  }
+
+  void perform(int vm, int server, const WriteMap& action)
+  {
+    Vm& node = *vms_[vm];
+    if (node.map->generation != action.base) {
+      return;
+    }
+    auto map = std::make_shared<ModelMap>(*node.map);
+    map->generation = base::Generation(action.base.value() + 1);
+    map->writer = node.self.vm.value() + "/" + std::to_string(++nonce_);
+    for (const auto& range : action.shards.ranges()) {
+      for (std::uint32_t i = range.first; i <= range.last; ++i) {
+        moveShard(map->shards[i], action.kind, node.seats[server].moveTarget);
+      }
+    }
+    if (action.kind == ChangeKind::Voters) {
+      map->voters[server] = action.voters;
+    }
+    node.seats[server].write = typename Vm::Write{ action.base, map, events_.now() };
+    retryWrite(vm, server);
+  }
+
+  void moveShard(ModelMap::Shard& shard, ChangeKind kind, int target)
+  {
+    const int old = shard.owner;
+    shard.owner = kind == ChangeKind::Failover ? shard.successor : target;
+    shard.successor = old;
+    if (serverCount() > 2) {
+      while (shard.successor == shard.owner || (shard.successor == old && pick(2) == 0)) {
+        shard.successor = pick(serverCount());
+      }
+    }
+  }
+
+  void retryWrite(int vm, int server)
+  {
+    auto& write = vms_[vm]->seats[server].write;
+    if (!write || events_.now() < write->nextTry) {
+      return;
+    }
+    write->nextTry = events_.now() + milliseconds(200);
+    const std::string token = write->value->writer;
+    platform_.put(vm, write->value, write->base, [this, vm, run = runs_[vm], token](MapPtr map) {
+      inVm(vm, run, [this, vm, token, map] {
+        if (map->writer == token) {
+          acknowledged_.emplace_back(map->generation, token);
+        }
+        adopt(vm, map);
+      });
+    });
+  }
+
+  void perform(int vm, int server, const WriteBump& action)
+  {
+    const std::uint64_t run = runs_[vm];
+    platform_.get(vm, [this, vm, server, run, action](MapPtr map) {
+      inVm(vm, run, [this, vm, server, action, map] {
+        if (map->generation > action.base) {
+          adopt(vm, map);
+        } else {
+          bump(vm, server, map);
+        }
+      });
+    });
+  }
+
+  void bump(int vm, int server, const MapPtr& current)
+  {
+    auto map = std::make_shared<ModelMap>(*current);
+    map->generation = base::Generation(current->generation.value() + 1);
+    map->writer = vms_[vm]->self.vm.value() + "/" + std::to_string(++nonce_);
+    const std::uint64_t run = runs_[vm];
+    platform_.put(vm, map, current->generation, [this, vm, server, run, map](MapPtr result) {
+      inVm(vm, run, [this, vm, server, map, result] {
+        adopt(vm, result);
+        if (result->writer == map->writer) {
+          vms_[vm]->seats[server].tenancy.onBumpWritten(result->generation, local(vm));
+        }
+      });
+    });
+  }
+
+  void adopt(int vm, const MapPtr& map)
+  {
+    Vm& node = *vms_[vm];
+    if (map->generation <= node.map->generation) {
+      return;
+    }
+    node.map = map;
+    for (int server = 0; server < serverCount(); ++server) {
+      apply(vm, server, node.seats[server].tenancy.onMap(map->row(server), local(vm)));
+    }
+  }
+
+  void sendLearn(int vm, const LearnRequest& request)
+  {
+    const int to = Vm::number(request.to);
+    toVm(vm, to, 0, [this, vm, to, run = runs_[vm], request] {
+      const LearnReply reply = vms_[to]->voter.answer(request);
+      toVm(to, vm, run, [this, vm, reply] { vms_[vm]->voter.onLearnReply(reply); });
+    });
+  }
+
+  // Executions.
+
+  void scheduleWork(int server)
+  {
+    events_.after(milliseconds(10 + pick(60)), [this, server] {
+      inServer(server, [this, server] { startWork(server); });
+      scheduleWork(server);
+    });
+  }
+
+  void startWork(int server)
+  {
+    Server& target = servers_[server];
+    const auto shard = static_cast<std::uint32_t>(pick(shardCount()));
+    RunId run{};
+    const base::Term term = target.grants().highestTerm();
+    const base::TimePoint now = target.local(events_.now());
+    if (target.grants().start(base::ShardId(shard), term, now, run) != StartVerdict::Started) {
+      return;
+    }
+    checkSole(server, shard, "starts");
+    const auto incarnation = target.incarnation();
+    events_.after(milliseconds(1 + pick(pick(10) == 0 ? 800 : 40)), [=, this] {
+      inServer(server, [=, this] { commitWork(server, shard, run, incarnation); });
+    });
+  }
+
+  void commitWork(int server, std::uint32_t shard, RunId run, std::uint64_t incarnation)
+  {
+    Server& target = servers_[server];
+    if (target.incarnation() != incarnation) {
+      return;
+    }
+    if (target.grants().mayCommit(run, target.local(events_.now()))) {
+      ++commits_;
+      checkSole(server, shard, "commits");
+    }
+    target.grants().finish(run);
+  }
+
+  void checkSole(int server, std::uint32_t shard, const char* what)
+  {
+    for (int other = 0; other < serverCount(); ++other) {
+      if (other != server && servers_[other].mayExecute(shard, events_.now())) {
+        checker_.fail(
+          events_.now(), "s", server, " ", what, " shard ", shard, " while s", other, " may run it");
+      }
+    }
+  }
+
+  // Validity begins only with an accepted grant, so this sees every overlap.
+  void checkOverlap(int server)
+  {
+    for (int shard = 0; shard < shardCount(); ++shard) {
+      if (servers_[server].mayExecute(static_cast<std::uint32_t>(shard), events_.now())) {
+        checkSole(server, static_cast<std::uint32_t>(shard), "is granted");
+      }
+    }
+  }
+
+  EventQueue events_;
+  std::mt19937_64 random_;
+  Network network_;
+  FakePlatform platform_;
+  HistoryChecker checker_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::vector<std::uint64_t> runs_;
+  std::vector<base::Duration> pausedUntil_;
+  std::vector<Server> servers_;
+  double workerDelay_ = 0;
+  std::uint64_t nonce_ = 0;
+  std::vector<std::pair<base::Generation, std::string>> acknowledged_;
+  std::size_t commits_ = 0;
+};
+
+} // namespace sycamore::ownership::model
--- /dev/null
+++ b/libs/ownership/tests/model/ModelVm.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "ModelClock.h"
+#include "ModelMap.h"
+
+#include <PermitTableImpl.h>
+#include <TenancyImpl.h>
+#include <VoterImpl.h>
+
+#include <memory>
+#include <optional>
+
+namespace sycamore::ownership::model {
+
+// The memory of one run of an entry VM; a restart replaces it.
+template<OwnershipRules Rules>
+struct ModelVm
+{
+  // A write that is repeated until a newer generation is seen.
+  struct Write
+  {
+    base::Generation base;
+    MapPtr value;
+    base::Duration nextTry{};
+  };
+
+  struct Seat
+  {
+    BasicTenancy<Rules> tenancy;
+    std::optional<Write> write;
+    std::optional<base::Generation> bump;
+    int moveTarget = 0;
+  };
+
+  ModelVm(int number, std::uint64_t run, ModelClock theClock, base::Duration real, MapPtr known)
+    : index(number)
+    , self{ name(number), base::Incarnation(run) }
+    , clock(theClock)
+    , voter(self, timings(), theClock.at(real))
+    , map(std::move(known))
+  {
+    for (int server = 0; server < static_cast<int>(map->voters.size()); ++server) {
+      seats.push_back(
+        { BasicTenancy<Rules>(self, timings(), map->row(server), clock.at(real)), {}, {}, 0 });
+    }
+  }
+
+  static base::VmId name(int number) { return base::VmId("v" + std::to_string(number)); }
+  static int number(const base::VmId& vm) { return std::stoi(vm.value().substr(1)); }
+  static LeaseTimings timings() { return LeaseTimings::Builder().build(); }
+
+  // The view that PermitTable needs.
+  base::Generation generation() const { return map->generation; }
+  ShardSet ownedBy(const base::ServerId& server) const
+  {
+    return map->row(ModelMap::index(server)).owned;
+  }
+
+  int index;
+  HolderId self;
+  ModelClock clock;
+  BasicVoter<Rules> voter;
+  BasicPermitTable<Rules> permits;
+  MapPtr map;
+  std::vector<Seat> seats;
+};
+
+} // namespace sycamore::ownership::model
