Add the public headers of the placement library

Cause: the daemon is wired against the shard map, the planner and the hot-key tracker while they are written. Ruled out: ownership times in the map's JSON, because the layout is fixed; every VM keeps a history of the maps that it adopts instead. Result: the headers compile by themselves; no implementation yet, nothing measured.

--- /dev/null
+++ b/libs/placement/include/placement/MapServer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <placement/ServerEntry.h>
+
+namespace sycamore::placement {
+
+// A named server of a shard map.
+struct MapServer
+{
+  base::ServerId id;
+  ServerEntry entry;
+
+  friend bool operator==(const MapServer&, const MapServer&) = default;
+};
+
+} // namespace sycamore::placement
--- /dev/null
+++ b/libs/placement/include/placement/Move.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <base/Ids.h>
+
+#include <optional>
+#include <string_view>
+
+namespace sycamore::placement {
+
+// Why a shard changes its owner, in the order of urgency.
+enum class MoveReason
+{
+  ServerLost,
+  ServerLeaving,
+  DomainOut,
+  KeyCooled,
+  Fill,
+  Balance
+};
+
+// "server-lost", "server-leaving", "domain-out", "key-cooled", "fill" or "balance".
+std::string_view toString(MoveReason reason);
+
+// A change of a shard's owner, with the successor that the same write names.
+struct Move
+{
+  base::ShardId shard;
+  base::ServerId from;
+  base::ServerId to;
+  std::optional<base::ServerId> successor;
+  MoveReason reason = MoveReason::Balance;
+
+  friend bool operator==(const Move&, const Move&) = default;
+};
+
+} // namespace sycamore::placement
--- /dev/null
+++ b/libs/placement/include/placement/PlannerOptions.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <base/Time.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace sycamore::placement {
+
+// Limits of a planning step and the per-service weights.
+struct PlannerOptions
+{
+  // All moves of one step.
+  std::size_t maxMovesPerStep = 64;
+  // Moves of one step that are not urgent (Fill and Balance). Each costs a gap of up to 100 ms on
+  // its shard, so they are spread over several steps.
+  std::size_t maxBalanceMovesPerStep = 16;
+  // Moves of one step to the same cold server; it must answer the first requests of new shards
+  // while it warms up.
+  std::size_t maxMovesToColdServerPerStep = 2;
+  std::size_t maxSuccessorChangesPerStep = 1024;
+  // A shard stays this long before it moves again, unless its server is lost or leaving or its
+  // failure domain is taken out.
+  base::Duration minimumMoveInterval = std::chrono::seconds(60);
+  // Configuration "weights.churn", 0 to 1: 0 balances closely, 1 moves as little as the imbalance
+  // target of 1.10 allows.
+  double churnWeight = 0.5;
+
+  // Limits for a shard count: a failure domain of eleven can be emptied within two steps.
+  static PlannerOptions forShardCount(std::uint32_t shardCount);
+
+  // Load over mean above which a server gives shards away, 1.03 to 1.09. The upper end stays below
+  // the target of 1.10, so that noise in the load doesn't cross it.
+  double highMark() const { return 1.03 + 0.06 * churnWeight; }
+  // Load over mean below which a server receives shards.
+  double lowMark() const { return 2.0 - highMark(); }
+};
+
+} // namespace sycamore::placement
--- /dev/null
+++ b/libs/placement/include/placement/ShardMapBuilder.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <placement/ShardMap.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sycamore::placement {
+
+// Makes a ShardMap, from nothing or as a change of another one. Not thread-safe. All methods throw
+// PlacementError when a rule of the map would break.
+class ShardMapBuilder
+{
+public:
+  ShardMapBuilder(base::ServiceId service, std::uint32_t shardCount);
+  // Starts as a copy, with the same generation and writer.
+  explicit ShardMapBuilder(const ShardMap& map);
+
+  ShardMapBuilder& setGeneration(base::Generation generation);
+  ShardMapBuilder& setWriter(std::string writer);
+  // Adds a server or replaces its entry.
+  ShardMapBuilder& setServer(const base::ServerId& server, ServerEntry entry);
+  // build() fails if the server still owns or succeeds a shard.
+  ShardMapBuilder& removeServer(const base::ServerId& server);
+  // Names owner and successor of a shard or an existing override; both must be known servers.
+  ShardMapBuilder& assign(base::ShardId shard,
+                          const base::ServerId& owner,
+                          const std::optional<base::ServerId>& successor);
+  // Splits out a key. The index is one above the highest in use, so that a freed index isn't at
+  // once another key's.
+  base::ShardId addOverride(const base::Key& key,
+                            const base::ServerId& owner,
+                            const std::optional<base::ServerId>& successor);
+  ShardMapBuilder& addOverride(const base::Key& key,
+                               base::ShardId shard,
+                               const base::ServerId& owner,
+                               const std::optional<base::ServerId>& successor);
+  ShardMapBuilder& removeOverride(base::ShardId shard);
+
+  // Checks that every shard has an owner and that all names are known.
+  ShardMap build() const;
+
+  // True for keys that an override can hold: 1 to 512 bytes of valid UTF-8, because the map is
+  // JSON.
+  static bool canOverride(const base::Key& key);
+
+private:
+  struct Server
+  {
+    base::ServerId id;
+    ServerEntry entry;
+    bool removed = false;
+  };
+
+  ServerIndex known(const base::ServerId& server) const;
+  ShardRow makeRow(const base::ServerId& owner,
+                   const std::optional<base::ServerId>& successor) const;
+  std::vector<ServerIndex> sortedOrder(ShardMap& map) const;
+  ShardRow translate(const ShardRow& row, const std::vector<ServerIndex>& order) const;
+
+  base::ServiceId service_;
+  base::Generation generation_;
+  std::string writer_;
+  std::vector<Server> servers_;
+  std::unordered_map<base::ServerId, ServerIndex> index_;
+  std::vector<ShardRow> rows_;
+  std::map<base::ShardId, KeyOverride> overrides_;
+};
+
+} // namespace sycamore::placement
--- /dev/null
+++ b/libs/placement/include/placement/ShardRow.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <base/StrongType.h>
+
+#include <cstdint>
+#include <limits>
+
+namespace sycamore::placement {
+
+// Position of a server in ShardMap::servers(). Valid only for the map that it came from.
+using ServerIndex = base::Strong<std::uint32_t, struct ServerIndexTag>;
+
+// Stands for "no successor", which occurs only in maps with a single usable server.
+inline constexpr ServerIndex kNoServer{ std::numeric_limits<std::uint32_t>::max() };
+
+// Owner and successor of a shard by their positions.
+struct ShardRow
+{
+  ServerIndex owner = kNoServer;
+  ServerIndex successor = kNoServer;
+
+  friend bool operator==(const ShardRow&, const ShardRow&) = default;
+};
+
+} // namespace sycamore::placement
