--- /dev/null
+++ b/libs/placement/src/HotKeySummary.cpp
@@ -0,0 +1,97 @@
+#include <placement/HotKeySummary.h>
+
+#include "JsonField.h"
+#include <placement/ShardMapBuilder.h>
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+
+namespace sycamore::placement {
+
+namespace {
+
+using Entries = std::unordered_map<base::Key, HotKeySummary::Entry>;
+
+// Adds the entries of one summary; keys that the other one lacks may have its missing rate there.
+void addEntries(Entries& sums, const HotKeySummary& summary, const HotKeySummary& other)
+{
+  for (const HotKeySummary::Entry& entry : summary.entries) {
+    const auto [at, added] = sums.emplace(entry.key, entry);
+    if (added) {
+      at->second.rate += other.missingRate;
+      at->second.error += other.missingRate;
+    } else {
+      // The first summary assumed the missing rate for this key; the real one replaces it.
+      at->second.rate += entry.rate - summary.missingRate;
+      at->second.error += entry.error - summary.missingRate;
+    }
+  }
+}
+
+double rounded(double rate)
+{
+  return std::round(rate * 10) / 10;
+}
+
+bool isBusier(const HotKeySummary::Entry& a, const HotKeySummary::Entry& b)
+{
+  return a.certainRate() != b.certainRate() ? a.certainRate() > b.certainRate() : a.key < b.key;
+}
+
+} // namespace
+
+HotKeySummary merge(const HotKeySummary& a, const HotKeySummary& b, std::size_t maxEntries)
+{
+  Entries sums;
+  sums.reserve(a.entries.size() + b.entries.size());
+  addEntries(sums, a, b);
+  addEntries(sums, b, a);
+  HotKeySummary merged;
+  merged.totalRate = a.totalRate + b.totalRate;
+  merged.missingRate = a.missingRate + b.missingRate;
+  for (auto& [key, entry] : sums) {
+    merged.entries.push_back(std::move(entry));
+  }
+  std::ranges::sort(merged.entries, isBusier);
+  for (std::size_t i = maxEntries; i < merged.entries.size(); ++i) {
+    merged.missingRate = std::max(merged.missingRate, merged.entries[i].rate);
+  }
+  if (merged.entries.size() > maxEntries) {
+    merged.entries.resize(maxEntries);
+  }
+  return merged;
+}
+
+nlohmann::json toJson(const HotKeySummary& summary)
+{
+  nlohmann::json keys = nlohmann::json::array();
+  for (const HotKeySummary::Entry& entry : summary.entries) {
+    if (ShardMapBuilder::canOverride(entry.key)) {
+      keys.push_back({ entry.key.value(), rounded(entry.rate), rounded(entry.error) });
+    }
+  }
+  return { { "total", rounded(summary.totalRate) },
+           { "missing", rounded(summary.missingRate) },
+           { "keys", std::move(keys) } };
+}
+
+HotKeySummary hotKeySummaryFromJson(const nlohmann::json& value)
+{
+  const JsonField root(value, "");
+  root.requireFields({ "total", "missing", "keys" });
+  HotKeySummary summary;
+  summary.totalRate = root.field("total").amount();
+  summary.missingRate = root.field("missing").amount();
+  const JsonField keys = root.field("keys");
+  keys.requireArray();
+  for (std::size_t i = 0; i < keys.value().size(); ++i) {
+    const JsonField row = keys.element(i);
+    row.requireSize(3);
+    summary.entries.push_back(
+      { base::Key(row.element(0).text()), row.element(1).amount(), row.element(2).amount() });
+  }
+  return summary;
+}
+
+} // namespace sycamore::placement
