--- a/libs/placement/include/placement/ShardLoads.h
+++ b/libs/placement/include/placement/ShardLoads.h
@@ -10,13 +10,14 @@
 
 namespace sycamore::placement {
 
-// Smoothed load per shard, in requests per second times cost, as entry VMs count it. An exponential
-// average keeps the planner from following bursts. Not thread-safe.
+// Smoothed load per shard, in requests per second times cost, as entry VMs count it. Not
+// thread-safe.
 class ShardLoads
 {
 public:
-  // Bursts shorter than the time constant hardly move the average.
-  static constexpr base::Duration kTimeConstant = std::chrono::seconds(10);
+  // As long as the minimum time between two moves of a shard: a faster average makes the planner
+  // follow bursts that are over before the shard may move again.
+  static constexpr base::Duration kTimeConstant = std::chrono::seconds(60);
 
   explicit ShardLoads(std::uint32_t shardCount, base::Duration timeConstant = kTimeConstant);
 
@@ -37,8 +38,9 @@
   struct Average
   {
     double load = 0;
+    // Weight of the observations so far, 0 to 1.
+    double known = 0;
     base::TimePoint at{};
-    bool observed = false;
   };
 
   Average& average(base::ShardId shard);
--- a/libs/placement/src/HotKeyEdits.cpp
+++ b/libs/placement/src/HotKeyEdits.cpp
@@ -15,7 +15,10 @@
   if (work.hasMoved(hot.shard) || work.hasMoved(home)) {
     return;
   }
+  // A key that returns and its shard must not part again in the same plan.
+  work.pin(home);
   if (row.owner == hot.row.owner) {
+    work.pin(hot.shard);
     work.edits().merges.push_back(hot.shard);
     return;
   }
@@ -25,6 +28,7 @@
   if (!lost && targetLive && work.isMovable(hot.shard) && work.mayBalance()) {
     work.move(hot.shard, row.owner, row.successor, MoveReason::KeyCooled);
   }
+  work.pin(hot.shard);
 }
 
 bool canSplit(const WorkingMap& work, const base::Key& key)
@@ -52,6 +56,7 @@
   for (const base::Key& key : request.hotKeys) {
     if (canSplit(work, key) && std::ranges::find(splits, key) == splits.end()) {
       splits.push_back(key);
+      work.pin(request.map.homeShardOf(key));
     }
   }
 }
--- a/libs/placement/src/HotKeyTracker.cpp
+++ b/libs/placement/src/HotKeyTracker.cpp
@@ -132,7 +132,12 @@
   const std::uint32_t position = heap_.front();
   Counter& counter = counters_[position];
   index_.erase(counter.key);
-  counter.key.assign(key);
+  if (key.size() > counter.key.capacity()) {
+    // assign() would grow the capacity by half as much again or more.
+    counter.key = std::string(key);
+  } else {
+    counter.key.assign(key);
+  }
   counter.error = counter.count;
   counter.count += count;
   index_.emplace(counter.key, position);
--- a/libs/placement/src/JsonField.cpp
+++ b/libs/placement/src/JsonField.cpp
@@ -61,7 +61,10 @@
 
 std::uint64_t JsonField::number(std::uint64_t max) const
 {
-  if (!value_.is_number_unsigned()) {
+  // Values made in memory may hold small numbers as signed ones; parsed texts don't.
+  const bool negative =
+    value_.is_number_integer() && !value_.is_number_unsigned() && value_.get<std::int64_t>() < 0;
+  if (!value_.is_number_integer() || negative) {
     fail("must be a whole number of 0 or more");
   }
   const auto number = value_.get<std::uint64_t>();
--- a/libs/placement/src/ShardLoads.cpp
+++ b/libs/placement/src/ShardLoads.cpp
@@ -5,6 +5,16 @@
 
 namespace sycamore::placement {
 
+namespace {
+
+// What the first observation of a shard covers, because there is none before it.
+constexpr base::Duration kFirstInterval = std::chrono::seconds(1);
+
+// After a split the loads of both parts are estimates only: they are learned again within seconds.
+constexpr double kKnownAfterSplit = 0.1;
+
+} // namespace
+
 ShardLoads::ShardLoads(std::uint32_t shardCount, base::Duration timeConstant)
   : timeConstant_(timeConstant)
   , shards_(shardCount)
@@ -14,24 +24,25 @@
 void ShardLoads::observe(base::ShardId shard, double load, base::TimePoint now)
 {
   Average& of = average(shard);
-  if (!of.observed) {
-    of = { load, now, true };
-    return;
-  }
-  if (now <= of.at) {
+  const bool first = of.known <= 0;
+  if (!first && now <= of.at) {
     return;
   }
-  const double elapsed = std::chrono::duration<double>(now - of.at).count();
+  const base::Duration interval = first ? kFirstInterval : now - of.at;
+  const double elapsed = std::chrono::duration<double>(interval).count();
   const double keep = std::exp(-elapsed / std::chrono::duration<double>(timeConstant_).count());
-  of.load = of.load * keep + load * (1 - keep);
+  const double old = of.known * keep;
+  of.known = old + (1 - keep);
+  of.load = (of.load * old + load * (1 - keep)) / of.known;
   of.at = now;
 }
 
 void ShardLoads::split(base::ShardId from, base::ShardId to, double load, base::TimePoint now)
 {
-  average(to) = { load, now, true };
+  average(to) = { load, kKnownAfterSplit, now };
   Average& parent = average(from);
   parent.load = std::max(0.0, parent.load - load);
+  parent.known = std::min(parent.known, kKnownAfterSplit);
 }
 
 void ShardLoads::merge(base::ShardId from, base::ShardId to)
--- a/libs/placement/src/WorkingMap.cpp
+++ b/libs/placement/src/WorkingMap.cpp
@@ -31,7 +31,8 @@
   double weights = 0;
   map().forEachShard([&](base::ShardId shard, const ShardRow& row) {
     loads_[row.owner.value()] += weight(shard);
-    weights += weight(shard);
+    // Shards that nobody may move don't count towards the mean of the others.
+    weights += fleet_.role(row.owner) == Fleet::Role::Unknown ? 0 : weight(shard);
     if (row.successor != kNoServer) {
       spread_.addTotal(row.successor);
     }
@@ -74,7 +75,7 @@
 
 bool WorkingMap::isMovable(base::ShardId shard) const
 {
-  return !hasMoved(shard) &&
+  return !hasMoved(shard) && !pinned_.contains(shard) &&
          !request_.history.movedWithin(shard, options_.minimumMoveInterval, now_);
 }
 
--- a/libs/placement/src/WorkingMap.h
+++ b/libs/placement/src/WorkingMap.h
@@ -42,6 +42,8 @@
   // Shards of a server that may move now: not moved within the minimum time nor by this plan.
   std::vector<base::ShardId> movableShards(ServerIndex server) const;
   bool isMovable(base::ShardId shard) const;
+  // Keeps a shard where it is for the rest of this plan.
+  void pin(base::ShardId shard) { pinned_.insert(shard); }
   bool hasMoved(base::ShardId shard) const { return moved_.contains(shard); }
 
   bool mayMove() const { return plan_.moves.size() < options_.maxMovesPerStep; }
@@ -72,6 +74,7 @@
   Ranking cold_;
   std::vector<std::size_t> coldMoves_;
   std::unordered_set<base::ShardId> moved_;
+  std::unordered_set<base::ShardId> pinned_;
   // Successors of the shards that each server receives by this plan.
   std::vector<std::vector<ServerIndex>> received_;
   std::size_t balanceMoves_ = 0;
--- /dev/null
+++ b/libs/placement/tests/World.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <placement/PlacementPlanner.h>
+#include <placement/PlanApplication.h>
+#include <placement/Roster.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sycamore::placement::testing {
+
+// A service's servers and map with a planner stepped by hand, one plan a second.
+class World
+{
+public:
+  World(std::uint32_t servers, std::uint32_t shards, PlannerOptions options = {})
+    : planner(options)
+    , loads(shards)
+    , map(make(servers, shards))
+  {
+  }
+
+  static base::ServerId serverName(std::uint32_t i)
+  {
+    return base::ServerId("layout-" + std::to_string(i));
+  }
+  static base::DomainId domainName(std::uint32_t i)
+  {
+    return base::DomainId(std::string(1, static_cast<char>('a' + i % 3)));
+  }
+  static std::vector<EntryVm> vms()
+  {
+    std::vector<EntryVm> vms;
+    for (std::uint32_t i = 0; i < 9; ++i) {
+      vms.push_back({ base::VmId("vm-" + std::to_string(i)), domainName(i) });
+    }
+    return vms;
+  }
+
+  ServerView& addView(std::uint32_t i, ServerState state = ServerState::Live)
+  {
+    return views.emplace_back(ServerView{ serverName(i), "127.0.0.1:9", domainName(i), state });
+  }
+  ServerView& view(std::uint32_t i)
+  {
+    return *std::ranges::find(views, serverName(i), &ServerView::id);
+  }
+  void join(std::uint32_t i, ServerState state = ServerState::Live)
+  {
+    addView(i, state);
+    if (auto next = updateRoster(map, views, vms(), VoterMode::Hold, "test")) {
+      adopt(std::move(*next), {});
+    }
+  }
+
+  // Plans, applies and returns the plan; time goes on by a second.
+  Plan step(std::span<const base::Key> hot = {}, std::span<const base::Key> cooled = {})
+  {
+    now += std::chrono::seconds(1);
+    Plan plan = planner.plan({ map, views, out, loads, history, hot, cooled }, now);
+    if (!plan.empty()) {
+      adopt(applyPlan(map, plan, "test"), plan.moves);
+    }
+    return plan;
+  }
+
+  // Steps until a plan is empty; returns the number of moves, or -1 when that takes too long.
+  long settle(int maxSteps = 400)
+  {
+    long moves = 0;
+    for (int i = 0; i < maxSteps; ++i) {
+      const Plan plan = step();
+      moves += static_cast<long>(plan.moves.size());
+      if (plan.empty()) {
+        return moves;
+      }
+    }
+    return -1;
+  }
+
+  double serverLoad(const base::ServerId& server) const
+  {
+    double sum = 0;
+    for (const base::ShardId shard : map.shardsOf(server)) {
+      sum += loads.load(shard);
+    }
+    return sum;
+  }
+
+  PlacementPlanner planner;
+  std::vector<ServerView> views;
+  std::vector<base::DomainId> out;
+  ShardLoads loads;
+  OwnershipHistory history;
+  ShardMap map;
+  base::TimePoint now{ std::chrono::hours(1) };
+
+private:
+  ShardMap make(std::uint32_t servers, std::uint32_t shards)
+  {
+    for (std::uint32_t i = 0; i < servers; ++i) {
+      addView(i);
+    }
+    return firstMap(base::ServiceId("layout"), shards, views, vms(), VoterMode::Hold, "test");
+  }
+  void adopt(ShardMap next, std::span<const Move> moves)
+  {
+    history.observe(map, next, now);
+    history.explain(moves);
+    map = std::move(next);
+  }
+};
+
+} // namespace sycamore::placement::testing
