Add the public headers of requests and admission

Cause: the daemon is wired against them while the libraries are written. Ruled out: clocks inside the classes; wall time is a separate type that only request ids, Retry-After dates and quarantine records use.

--- /dev/null
+++ b/libs/admission/include/admission/QueuedWork.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <admission/SlotGate.h>
+#include <base/Time.h>
+
+#include <cstddef>
+#include <string>
+
+namespace sycamore::admission {
+
+// A request waiting for a slot.
+struct QueuedWork
+{
+  WorkId id;
+  // What the queue is fair over within a service: the caller's name, or the key.
+  std::string flow;
+  base::TimePoint deadline;
+  // Buffered bytes of the request.
+  std::size_t bytes = 0;
+  // Must not share its server (see Quarantine).
+  bool alone = false;
+};
+
+} // namespace sycamore::admission
--- /dev/null
+++ b/libs/admission/include/admission/ServerGate.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <admission/ColdStartLimiter.h>
+#include <admission/FairQueue.h>
+#include <admission/GateAction.h>
+#include <admission/SlotGate.h>
+#include <base/Ids.h>
+#include <base/Time.h>
+#include <requests/AttemptClassifier.h>
+
+#include <optional>
+#include <unordered_map>
+
+namespace sycamore::admission {
+
+struct ServerGateSettings
+{
+  unsigned slots = 2;
+  FairQueueSettings queue;
+  ColdStartSettings coldStart;
+  // A server may go on this long after a request's deadline; the slot is held so long.
+  base::Duration endMargin = base::milliseconds(50);
+  // Time of one request before the first was observed.
+  base::Duration initialServiceTime = base::milliseconds(1);
+  // The server was known to be warm when the tenancy began.
+  bool startsWarm = false;
+};
+
+// The end of an attempt whose end is certain.
+struct AttemptEnded
+{
+  WorkId work;
+  requests::Classification result;
+};
+
+// What the server's holder knows of the server.
+struct ServerReport
+{
+  base::Incarnation incarnation;
+  ReportedState state = ReportedState::Warm;
+};
+
+// Admission to one backend server at the entry VM that holds its tenancy: slots, queue and
+// cold-start limit in one state machine. Each call takes an event and returns what to do; the
+// caller performs all actions of a call. A Refuse is always "not run". Not thread-safe: the
+// dispatcher holds one mutex around each instance and performs the actions outside of it.
+class ServerGate
+{
+public:
+  ServerGate(ServerGateSettings settings, base::TimePoint now);
+
+  // A request arrived. It is dispatched, queued or refused.
+  GateActions enqueue(QueuedWork work, base::TimePoint now);
+
+  // An attempt has certainly ended: a complete answer, a refusal, or nothing was sent.
+  GateActions finished(const AttemptEnded& end, base::TimePoint now);
+
+  // The dispatcher gave up on an attempt that may still run (timeout, broken connection, caller
+  // gone). Its slot stays held until finished(), cancelConfirmed() or its deadline plus a margin.
+  GateActions abandoned(WorkId work, base::TimePoint now);
+
+  // The server confirmed that the request is cancelled or is not running.
+  GateActions cancelConfirmed(WorkId work, base::TimePoint now);
+
+  // The caller of queued work went away. Does nothing for work in flight: see abandoned().
+  GateActions withdraw(WorkId work, base::TimePoint now);
+
+  // A grant answer or a load report arrived. On another incarnation, all slots are free.
+  GateActions serverChanged(const ServerReport& report, base::TimePoint now);
+
+  // Whether a valid grant exists. Without one, queued work waits for its deadline.
+  GateActions setGranted(bool granted, base::TimePoint now);
+
+  // This entry VM is no longer the holder: queued work is refused as not-holder, and so is all
+  // later work.
+  GateActions tenancyLost(base::TimePoint now);
+
+  // To be called at nextWakeUp().
+  GateActions wake(base::TimePoint now);
+  std::optional<base::TimePoint> nextWakeUp(base::TimePoint now) const;
+
+  void setSlots(unsigned slots);
+
+  // Attempts that hold a slot.
+  std::size_t inFlight() const { return slots_.held(); }
+  std::size_t queued() const;
+  bool cold() const { return limiter_.cold(); }
+
+private:
+  struct Attempt
+  {
+    base::TimePoint sentAt;
+    base::TimePoint deadline;
+    bool alone = false;
+  };
+
+  void dispatchReady(GateActions& actions, base::TimePoint now);
+  bool mayDispatch(const QueuedWork& next, base::TimePoint now) const;
+  void dispatch(const QueuedWork& work, GateActions& actions, base::TimePoint now);
+  void refuseExpired(GateActions& actions, base::TimePoint now);
+  void refuseQueued(requests::Reason reason, GateActions& actions);
+  void learn(const Attempt& attempt, const requests::Classification& result, base::TimePoint now);
+  base::Duration perItem() const;
+  std::optional<requests::Reason> closedReason() const;
+
+  ServerGateSettings settings_;
+  SlotGate slots_;
+  FairQueue queue_;
+  ColdStartLimiter limiter_;
+  std::unordered_map<WorkId, Attempt> attempts_;
+  // The next work in turn, taken from the queue but waiting for a slot, the rate, or to be alone.
+  std::optional<QueuedWork> next_;
+  std::optional<base::Incarnation> incarnation_;
+  double serviceNanos_;
+  std::size_t aloneInFlight_ = 0;
+  bool granted_ = true;
+  bool draining_ = false;
+  bool lost_ = false;
+};
+
+} // namespace sycamore::admission
--- /dev/null
+++ b/libs/requests/include/requests/Quarantine.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <base/Time.h>
+#include <requests/QuarantineRecord.h>
+#include <requests/WallTime.h>
+#include <requests/WorkIdentity.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sycamore::requests {
+
+struct QuarantineSettings
+{
+  // Crashed servers after which a subject is refused, in one failure domain or over several.
+  std::size_t condemnAfter = 2;
+  // Life of crash evidence and of a verdict since its last crash.
+  base::Duration evidenceLife = std::chrono::minutes(10);
+  // Most subjects remembered. Beyond it those whose newest crash is oldest are forgotten.
+  std::size_t maxSubjects = 4096;
+};
+
+// How a request is to be treated.
+enum class Treatment
+{
+  Run,
+  // It was in flight on a server that crashed: run it with nothing else in flight on its server, so
+  // that the next crash or completion tells whether it is to blame.
+  RunAlone,
+  // Refuse as quarantined, not run.
+  Refuse
+};
+
+// A server that crashed (its process ended or has another incarnation) and what it was running.
+struct CrashReport
+{
+  base::ServerId server;
+  base::Incarnation incarnation;
+  base::DomainId domain;
+  std::vector<WorkIdentity> inFlight;
+};
+
+// Finds poison requests. A crash is evidence against what was in flight; when several requests
+// were, it only makes them suspects, and condemning takes at least one crash while running alone.
+// Each entry VM has one instance; records() and merge() spread its content. Not thread-safe: the
+// owner holds a mutex.
+class Quarantine
+{
+public:
+  explicit Quarantine(QuarantineSettings settings = {});
+
+  Treatment check(const WorkIdentity& work, base::TimePoint now) const;
+
+  // Records a crash. A server and incarnation count once per subject.
+  void noteCrash(const CrashReport& crash, base::TimePoint now, WallTime wallNow);
+
+  // The work completed on a server that did not crash: clears suspects, but not what is condemned.
+  void noteCompleted(const WorkIdentity& work, base::TimePoint now, WallTime wallNow);
+
+  // Voids all evidence against a subject up to now, whatever the clocks of other entry VMs say.
+  // False if there was none; the lift still voids older evidence that arrives later.
+  bool lift(const std::string& subject, base::TimePoint now, WallTime wallNow);
+
+  // Condemned subjects, sorted, for operators.
+  std::vector<QuarantineRecord> condemned(base::TimePoint now) const;
+
+  // Everything that is not expired, sorted, for peers. Receivers convert times on arrival.
+  std::vector<QuarantineRecord> records(base::TimePoint now) const;
+
+  // Merges records of a peer.
+  void merge(const std::vector<QuarantineRecord>& records, base::TimePoint now);
+
+  // Equal on entry VMs that have the same unexpired records.
+  std::uint64_t digest(base::TimePoint now) const;
+
+private:
+  using Subjects = std::unordered_map<std::string, QuarantineRecord>;
+
+  bool isCondemned(const std::string& subject, base::TimePoint now) const;
+  std::vector<CrashEvidence> liveEvidence(const QuarantineRecord& record,
+                                          base::TimePoint now) const;
+  void addEvidence(const std::string& subject, CrashEvidence evidence);
+  void clear(QuarantineRecord& record, base::TimePoint now, WallTime wallNow);
+  void forgetExpired(base::TimePoint now);
+  void enforceLimit();
+
+  QuarantineSettings settings_;
+  Subjects subjects_;
+};
+
+} // namespace sycamore::requests
