--- /dev/null
+++ b/testing/http/include/test_http/ConnectionPool.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <httplib.h>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace sycamore::test_http {
+
+// Worker threads for cpp-httplib, which holds one thread per open connection. Threads are started
+// when no idle one is left, so that a stand-in with few connections stays small.
+class ConnectionPool : public httplib::TaskQueue
+{
+public:
+  explicit ConnectionPool(std::size_t maxThreads);
+
+  void enqueue(std::function<void()> task) override;
+  void shutdown() override;
+
+private:
+  void work();
+
+  const std::size_t maxThreads_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::deque<std::function<void()>> tasks_;
+  std::vector<std::thread> threads_;
+  std::size_t idle_ = 0;
+  bool stopping_ = false;
+};
+
+} // namespace sycamore::test_http
--- /dev/null
+++ b/testing/http/include/test_http/ServerConnection.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <httplib.h>
+
+namespace sycamore::test_http {
+
+class FreezeGate;
+
+// One accepted connection of a stand-in, with the faults that need the socket: it can be closed
+// without an answer, or swallow all bytes in both directions. Used by the thread that serves it;
+// silence() may be called from any thread. Doesn't own the socket.
+class ServerConnection : public httplib::Stream
+{
+public:
+  ServerConnection(socket_t socket, const FreezeGate& gate, const std::atomic<bool>& stopping);
+
+  // Waits for the first byte of the next request. False: closed, idle too long, or stopping.
+  bool waitForRequest(int idleSeconds);
+
+  // The rest of this connection is closed without writing anything more.
+  void drop() { dropped_ = true; }
+  bool dropped() const { return dropped_; }
+
+  // From now on reads discard what arrives and writes pretend to succeed.
+  void silence() { silent_ = true; }
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char* data, std::size_t size) override;
+  ssize_t write(const char* data, std::size_t size) override;
+  void get_remote_ip_and_port(std::string& ip, int& port) const override;
+  void get_local_ip_and_port(std::string& ip, int& port) const override;
+  socket_t socket() const override { return socket_; }
+
+private:
+  ssize_t receive(char* data, std::size_t size);
+  bool await(short events, int timeoutMs) const;
+
+  const socket_t socket_;
+  const FreezeGate& gate_;
+  const std::atomic<bool>& stopping_;
+  std::atomic<bool> silent_ = false;
+  bool dropped_ = false;
+  std::array<char, 16384> buffer_{};
+  std::size_t bufferBegin_ = 0;
+  std::size_t bufferEnd_ = 0;
+};
+
+} // namespace sycamore::test_http
--- /dev/null
+++ b/testing/http/src/ServerConnection.cpp
@@ -0,0 +1,132 @@
+#include <test_http/ServerConnection.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <test_http/FreezeGate.h>
+
+namespace sycamore::test_http {
+
+namespace {
+
+// A peer that sends or takes nothing for this long in the middle of a message is given up.
+constexpr int kStallTimeoutMs = 30000;
+
+// How soon a waiting thread notices that the server stops.
+constexpr int kStopCheckMs = 100;
+
+void describe(const sockaddr_in& address, std::string& ip, int& port)
+{
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  ip = text.data();
+  port = ntohs(address.sin_port);
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(socket_t socket,
+                                   const FreezeGate& gate,
+                                   const std::atomic<bool>& stopping)
+  : socket_(socket)
+  , gate_(gate)
+  , stopping_(stopping)
+{
+}
+
+bool ServerConnection::await(short events, int timeoutMs) const
+{
+  for (int waited = 0; waited < timeoutMs && !stopping_; waited += kStopCheckMs) {
+    pollfd entry{ socket_, events, 0 };
+    const int ready = poll(&entry, 1, std::min(kStopCheckMs, timeoutMs - waited));
+    if (ready > 0) {
+      return true;
+    }
+    if (ready < 0 && errno != EINTR) {
+      return false;
+    }
+  }
+  return false;
+}
+
+bool ServerConnection::waitForRequest(int idleSeconds)
+{
+  return bufferBegin_ < bufferEnd_ || await(POLLIN, idleSeconds * 1000);
+}
+
+bool ServerConnection::is_readable() const
+{
+  return bufferBegin_ < bufferEnd_ || await(POLLIN, kStallTimeoutMs);
+}
+
+bool ServerConnection::is_writable() const
+{
+  return !dropped_ && (silent_ || await(POLLOUT, kStallTimeoutMs));
+}
+
+ssize_t ServerConnection::receive(char* data, std::size_t size)
+{
+  while (true) {
+    if (!await(POLLIN, kStallTimeoutMs)) {
+      return -1;
+    }
+    gate_.pass();
+    const ssize_t count = recv(socket_, data, size, 0);
+    if (count <= 0 || !silent_) {
+      return count;
+    }
+  }
+}
+
+ssize_t ServerConnection::read(char* data, std::size_t size)
+{
+  if (bufferBegin_ == bufferEnd_) {
+    if (size >= buffer_.size()) {
+      return receive(data, size);
+    }
+    const ssize_t count = receive(buffer_.data(), buffer_.size());
+    if (count <= 0) {
+      return count;
+    }
+    bufferBegin_ = 0;
+    bufferEnd_ = static_cast<std::size_t>(count);
+  }
+  const std::size_t count = std::min(size, bufferEnd_ - bufferBegin_);
+  std::memcpy(data, buffer_.data() + bufferBegin_, count);
+  bufferBegin_ += count;
+  return static_cast<ssize_t>(count);
+}
+
+ssize_t ServerConnection::write(const char* data, std::size_t size)
+{
+  gate_.pass();
+  if (silent_) {
+    return static_cast<ssize_t>(size);
+  }
+  if (!is_writable()) {
+    return -1;
+  }
+  return send(socket_, data, size, MSG_NOSIGNAL);
+}
+
+void ServerConnection::get_remote_ip_and_port(std::string& ip, int& port) const
+{
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getpeername(socket_, reinterpret_cast<sockaddr*>(&address), &length);
+  describe(address, ip, port);
+}
+
+void ServerConnection::get_local_ip_and_port(std::string& ip, int& port) const
+{
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
+  describe(address, ip, port);
+}
+
+} // namespace sycamore::test_http
--- /dev/null
+++ b/testing/http/src/StandInServer.cpp
@@ -0,0 +1,112 @@
+#include <base/Error.h>
+#include <cstdio>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <test_http/ConnectionPool.h>
+#include <test_http/StandInServer.h>
+#include <unistd.h>
+
+namespace sycamore::test_http {
+
+namespace {
+
+constexpr int kIdleSeconds = 300;
+
+// cpp-httplib's own backlog of 5 overflows when callers open their pools at once; a dropped
+// connection request is repeated only after a second.
+constexpr int kBacklog = 512;
+
+thread_local ServerConnection* currentConnection = nullptr;
+
+} // namespace
+
+StandInServer::StandInServer(std::size_t maxConnections)
+{
+  new_task_queue = [maxConnections] { return new ConnectionPool(maxConnections); };
+  set_tcp_nodelay(true);
+  // The default option lets a second process bind the same port.
+  set_socket_options([](socket_t socket) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  });
+}
+
+int StandInServer::bind(int port)
+{
+  port_ = port;
+  const bool bound =
+    port == 0 ? (port_ = bind_to_any_port("127.0.0.1")) > 0 : bind_to_port("127.0.0.1", port);
+  if (!bound || ::listen(svr_sock_, kBacklog) != 0) {
+    throw base::Error("cannot listen on 127.0.0.1:" + std::to_string(port));
+  }
+  return port_;
+}
+
+void StandInServer::announceAndServe()
+{
+  std::printf("listening 127.0.0.1:%d\n", port_);
+  std::fflush(stdout);
+  serve();
+}
+
+void StandInServer::serve()
+{
+  listen_after_bind();
+}
+
+void StandInServer::stopServing()
+{
+  stopping_ = true;
+  stop();
+}
+
+void StandInServer::dropCurrentConnection()
+{
+  if (currentConnection != nullptr) {
+    currentConnection->drop();
+  }
+}
+
+void StandInServer::silenceOpenConnections()
+{
+  const std::lock_guard lock(mutex_);
+  for (ServerConnection* connection : connections_) {
+    if (connection != currentConnection) {
+      connection->silence();
+    }
+  }
+}
+
+bool StandInServer::process_and_close_socket(socket_t socket)
+{
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  ServerConnection connection(socket, gate_, stopping_);
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.insert(&connection);
+  }
+  currentConnection = &connection;
+  serveConnection(connection);
+  currentConnection = nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.erase(&connection);
+  }
+  shutdown(socket, SHUT_RDWR);
+  close(socket);
+  return true;
+}
+
+void StandInServer::serveConnection(ServerConnection& connection)
+{
+  bool closed = false;
+  while (!closed && !connection.dropped() && connection.waitForRequest(kIdleSeconds)) {
+    if (!process_request(connection, false, closed, nullptr)) {
+      return;
+    }
+  }
+}
+
+} // namespace sycamore::test_http
