--- a/testing/http/include/test_http/ServerConnection.h
+++ b/testing/http/include/test_http/ServerConnection.h
@@ -27,6 +27,9 @@
   // From now on reads discard what arrives and writes pretend to succeed.
   void silence() { silent_ = true; }
 
+  // From now on freezes don't hold back this connection.
+  void exemptFromFreeze() { exempt_ = true; }
+
   bool is_readable() const override;
   bool is_writable() const override;
   ssize_t read(char* data, std::size_t size) override;
@@ -36,6 +39,7 @@
   socket_t socket() const override { return socket_; }
 
 private:
+  void passGate() const;
   ssize_t receive(char* data, std::size_t size);
   bool await(short events, int timeoutMs) const;
 
@@ -44,6 +48,7 @@
   const std::atomic<bool>& stopping_;
   std::atomic<bool> silent_ = false;
   bool dropped_ = false;
+  bool exempt_ = false;
   std::array<char, 16384> buffer_{};
   std::size_t bufferBegin_ = 0;
   std::size_t bufferEnd_ = 0;
--- a/testing/http/include/test_http/StandInServer.h
+++ b/testing/http/include/test_http/StandInServer.h
@@ -32,7 +32,12 @@
   // Silences all open connections but that of the calling handler. New ones work.
   void silenceOpenConnections();
 
-  FreezeGate& gate() { return gate_; }
+  // All connections but that of the calling handler stop until the time, then go on as if nothing
+  // had happened.
+  void freezeUntil(base::TimePoint end);
+
+  // Passed by work that a freeze must hold back between its reads and writes.
+  const FreezeGate& gate() const { return gate_; }
 
 private:
   bool process_and_close_socket(socket_t socket) override;
--- a/testing/http/src/ServerConnection.cpp
+++ b/testing/http/src/ServerConnection.cpp
@@ -68,13 +68,20 @@
   return !dropped_ && (silent_ || await(POLLOUT, kStallTimeoutMs));
 }
 
+void ServerConnection::passGate() const
+{
+  if (!exempt_) {
+    gate_.pass();
+  }
+}
+
 ssize_t ServerConnection::receive(char* data, std::size_t size)
 {
   while (true) {
     if (!await(POLLIN, kStallTimeoutMs)) {
       return -1;
     }
-    gate_.pass();
+    passGate();
     const ssize_t count = recv(socket_, data, size, 0);
     if (count <= 0 || !silent_) {
       return count;
@@ -103,7 +110,7 @@
 
 ssize_t ServerConnection::write(const char* data, std::size_t size)
 {
-  gate_.pass();
+  passGate();
   if (silent_) {
     return static_cast<ssize_t>(size);
   }
--- a/testing/http/src/StandInServer.cpp
+++ b/testing/http/src/StandInServer.cpp
@@ -78,6 +78,14 @@
   }
 }
 
+void StandInServer::freezeUntil(base::TimePoint end)
+{
+  if (currentConnection != nullptr) {
+    currentConnection->exemptFromFreeze();
+  }
+  gate_.freezeUntil(end);
+}
+
 bool StandInServer::process_and_close_socket(socket_t socket)
 {
   const int on = 1;
