--- /dev/null
+++ b/libs/configuration/include/configuration/ConfigFault.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace sycamore::configuration {
+
+// One fault of a configuration document. The path is a JSON pointer (RFC 6901), empty for the whole
+// document.
+struct ConfigFault
+{
+  std::string path;
+  std::string message;
+
+  friend bool operator==(const ConfigFault&, const ConfigFault&) = default;
+};
+
+using ConfigFaults = std::vector<ConfigFault>;
+
+} // namespace sycamore::configuration
--- /dev/null
+++ b/libs/configuration/include/configuration/ConfigSpread.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <base/Time.h>
+#include <configuration/ConfigDigest.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace sycamore::configuration {
+
+// What ConfigSpread wants done.
+struct SpreadActions
+{
+  // Ask these peers for what they have newer (`/peer/config`); report with onFetchResult.
+  std::vector<base::VmId> fetch;
+  // Send these peers a heartbeat at once instead of at its time.
+  std::vector<base::VmId> tell;
+};
+
+// Timing of ConfigSpread.
+struct SpreadTiming
+{
+  // A fetch without an answer is given up and another one may start.
+  base::milliseconds fetchTimeout{ 300 };
+  // Pause after a fetch from a peer whose digest stays unequal, as when that peer is behind.
+  // Doubles up to the maximum while neither side changes, or such a pair would fetch without end.
+  base::milliseconds fetchInterval{ 200 };
+  base::milliseconds maxFetchInterval{ 2000 };
+};
+
+// Decides which peers to fetch configuration from and which to tell of a change. Each VM tells a
+// bounded number of peers of each adoption at once; heartbeats between all pairs repair what is
+// lost. Belongs to the control thread.
+class ConfigSpread
+{
+public:
+  // Fetches in flight at once.
+  static constexpr std::size_t kMaxFetches = 3;
+  // Peers told at once of an adoption. With 12 VMs all others are told; more VMs are reached in
+  // rounds, since each VM that adopts tells others.
+  static constexpr std::size_t kMaxTold = 16;
+
+  explicit ConfigSpread(base::VmId self, SpreadTiming timing = {});
+
+  // The live entry VMs but this one, whenever that changes.
+  void setPeers(const std::set<base::VmId>& peers);
+
+  // A heartbeat, or an answer to one, arrived from a peer.
+  SpreadActions onHeartbeat(const base::VmId& peer,
+                            const ConfigDigest& theirs,
+                            const ConfigDigest& ours,
+                            base::TimePoint now);
+
+  // This VM adopted something: from its own change, the platform or a peer.
+  SpreadActions onAdopted(const ConfigDigest& ours, base::TimePoint now);
+
+  // A fetch was answered (with or without objects) or failed.
+  SpreadActions onFetchResult(const base::VmId& peer,
+                              bool answered,
+                              const ConfigDigest& ours,
+                              base::TimePoint now);
+
+  // To be called about every 100 ms.
+  SpreadActions onTick(const ConfigDigest& ours, base::TimePoint now);
+
+private:
+  struct Peer
+  {
+    std::optional<ConfigDigest> digest;
+    base::TimePoint heard{};
+    std::optional<base::TimePoint> fetchDeadline;
+    base::TimePoint nextFetch{};
+    base::Duration pause{};
+  };
+
+  std::vector<base::VmId> chooseFetches(const ConfigDigest& ours, base::TimePoint now);
+  bool mayFetchFrom(const Peer& peer, const ConfigDigest& ours, base::TimePoint now) const;
+  std::size_t expireFetches(base::TimePoint now);
+  void pauseFetches(Peer& peer, base::TimePoint now) const;
+  std::vector<base::VmId> choosePeersToTell(const ConfigDigest& ours);
+
+  base::VmId self_;
+  SpreadTiming timing_;
+  std::map<base::VmId, Peer> peers_;
+  std::size_t nextTold_ = 0;
+};
+
+// The live entry VM of a failure domain that watches the platform for its domain: the one with the
+// lowest id. Nothing if the domain has no live VM.
+std::optional<base::VmId> relayOf(const std::set<base::VmId>& liveVmsOfDomain);
+
+} // namespace sycamore::configuration
--- /dev/null
+++ b/libs/configuration/include/configuration/ObjectName.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <base/Ids.h>
+
+#include <optional>
+#include <string>
+
+namespace sycamore::configuration {
+
+// Name of an object of the platform's kind `config`: "service.<id>" or "domain.<id>".
+using ObjectName = base::Strong<std::string, struct ObjectNameTag>;
+
+ObjectName objectName(const base::ServiceId& service);
+ObjectName objectName(const base::DomainId& domain);
+
+// The id in the name, or nothing if the name is of another sort.
+std::optional<base::ServiceId> serviceOf(const ObjectName& name);
+std::optional<base::DomainId> domainOf(const ObjectName& name);
+
+// Ids of services and failure domains: 1 to 63 lower-case letters, digits and '-', not at an end.
+bool isValidId(const std::string& id);
+
+} // namespace sycamore::configuration
--- /dev/null
+++ b/libs/configuration/include/configuration/StoredValue.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace sycamore::configuration {
+
+// Splits a stored value into the operator's document and what the system adds to it.
+class StoredValue
+{
+public:
+  // Tokens that a value keeps. A lost answer is settled as long as fewer changes of the same object
+  // follow before it is read back.
+  static constexpr std::size_t kMaxWriters = 8;
+
+  // Reads a stored value. A value that isn't a JSON object counts as a document without writers.
+  static StoredValue parse(const std::string& text);
+
+  // The value that a change on top of this one stores.
+  StoredValue changedTo(std::string document, const std::string& writer) const;
+  StoredValue deletedBy(const std::string& writer) const;
+
+  std::string serialize() const;
+
+  bool deleted() const { return deleted_; }
+  // JSON; empty for a deleted object.
+  const std::string& document() const { return document_; }
+  // Newest first.
+  const std::vector<std::string>& writers() const { return writers_; }
+  bool writtenBy(const std::string& writer) const;
+
+private:
+  void addWriter(const std::string& writer);
+
+  std::string document_;
+  std::vector<std::string> writers_;
+  bool deleted_ = false;
+};
+
+} // namespace sycamore::configuration
--- /dev/null
+++ b/libs/configuration/src/ConfigSpread.cpp
@@ -0,0 +1,139 @@
+#include <configuration/ConfigSpread.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace sycamore::configuration {
+
+ConfigSpread::ConfigSpread(base::VmId self, SpreadTiming timing)
+  : self_(std::move(self))
+  , timing_(timing)
+{
+}
+
+void ConfigSpread::setPeers(const std::set<base::VmId>& peers)
+{
+  std::erase_if(peers_, [&](const auto& peer) { return !peers.contains(peer.first); });
+  for (const base::VmId& peer : peers) {
+    if (peer != self_) {
+      peers_.try_emplace(peer);
+    }
+  }
+}
+
+SpreadActions ConfigSpread::onHeartbeat(const base::VmId& peer,
+                                        const ConfigDigest& theirs,
+                                        const ConfigDigest& ours,
+                                        base::TimePoint now)
+{
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) {
+    return {};
+  }
+  Peer& state = found->second;
+  if (state.digest != theirs) {
+    state.pause = {};
+    state.nextFetch = now;
+  }
+  state.digest = theirs;
+  state.heard = now;
+  return { chooseFetches(ours, now), {} };
+}
+
+SpreadActions ConfigSpread::onAdopted(const ConfigDigest& ours, base::TimePoint now)
+{
+  return { chooseFetches(ours, now), choosePeersToTell(ours) };
+}
+
+SpreadActions ConfigSpread::onFetchResult(const base::VmId& peer,
+                                          bool answered,
+                                          const ConfigDigest& ours,
+                                          base::TimePoint now)
+{
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    found->second.fetchDeadline.reset();
+    if (!answered || found->second.digest != ours) {
+      pauseFetches(found->second, now);
+    }
+  }
+  return { chooseFetches(ours, now), {} };
+}
+
+SpreadActions ConfigSpread::onTick(const ConfigDigest& ours, base::TimePoint now)
+{
+  return { chooseFetches(ours, now), {} };
+}
+
+std::vector<base::VmId> ConfigSpread::chooseFetches(const ConfigDigest& ours, base::TimePoint now)
+{
+  const std::size_t inFlight = expireFetches(now);
+  std::vector<std::pair<base::TimePoint, base::VmId>> candidates;
+  for (const auto& [id, peer] : peers_) {
+    if (mayFetchFrom(peer, ours, now)) {
+      candidates.emplace_back(peer.heard, id);
+    }
+  }
+  // The peer heard last is the most likely to be alive and to have the news.
+  std::sort(candidates.rbegin(), candidates.rend());
+  candidates.resize(std::min(candidates.size(), kMaxFetches - std::min(kMaxFetches, inFlight)));
+  std::vector<base::VmId> chosen;
+  for (auto& [heard, id] : candidates) {
+    peers_[id].fetchDeadline = now + timing_.fetchTimeout;
+    chosen.push_back(std::move(id));
+  }
+  return chosen;
+}
+
+bool ConfigSpread::mayFetchFrom(const Peer& peer,
+                                const ConfigDigest& ours,
+                                base::TimePoint now) const
+{
+  return peer.digest && *peer.digest != ours && !peer.fetchDeadline && now >= peer.nextFetch;
+}
+
+std::size_t ConfigSpread::expireFetches(base::TimePoint now)
+{
+  std::size_t inFlight = 0;
+  for (auto& [id, peer] : peers_) {
+    if (peer.fetchDeadline && now >= *peer.fetchDeadline) {
+      peer.fetchDeadline.reset();
+      pauseFetches(peer, now);
+    }
+    inFlight += peer.fetchDeadline ? 1 : 0;
+  }
+  return inFlight;
+}
+
+void ConfigSpread::pauseFetches(Peer& peer, base::TimePoint now) const
+{
+  const base::Duration doubled = peer.pause * 2;
+  peer.pause = std::clamp<base::Duration>(doubled, timing_.fetchInterval, timing_.maxFetchInterval);
+  peer.nextFetch = now + peer.pause;
+}
+
+std::vector<base::VmId> ConfigSpread::choosePeersToTell(const ConfigDigest& ours)
+{
+  std::vector<base::VmId> behind;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.digest != ours) {
+      behind.push_back(id);
+    }
+  }
+  if (behind.size() <= kMaxTold) {
+    return behind;
+  }
+  // Successive adoptions, and different VMs, start at different peers.
+  const std::size_t first = (nextTold_ + std::hash<base::VmId>{}(self_)) % behind.size();
+  nextTold_ += kMaxTold;
+  std::rotate(behind.begin(), behind.begin() + static_cast<std::ptrdiff_t>(first), behind.end());
+  behind.resize(kMaxTold);
+  return behind;
+}
+
+std::optional<base::VmId> relayOf(const std::set<base::VmId>& liveVmsOfDomain)
+{
+  return liveVmsOfDomain.empty() ? std::nullopt : std::optional(*liveVmsOfDomain.begin());
+}
+
+} // namespace sycamore::configuration
--- /dev/null
+++ b/libs/configuration/tests/StoredValueTest.cpp
@@ -0,0 +1,28 @@
+#include <configuration/StoredValue.h>
+
+#include <doctest/doctest.h>
+
+using sycamore::configuration::StoredValue;
+
+// Guards against a lost writer token: a lost answer could then not be settled.
+TEST_CASE("a stored value keeps its writers through a round trip and a delete")
+{
+  const auto created = StoredValue().changedTo(R"({"domain":"a"})", "vm/1");
+  const auto read = StoredValue::parse(created.serialize());
+  CHECK(read.document() == R"({"domain":"a"})");
+  const auto deleted = StoredValue::parse(read.deletedBy("vm/2").serialize());
+  CHECK(deleted.deleted());
+  CHECK(deleted.document().empty());
+  CHECK(deleted.writers() == std::vector<std::string>{ "vm/2", "vm/1" });
+}
+
+// Guards against values that grow with each change.
+TEST_CASE("a stored value keeps a bounded number of writers")
+{
+  StoredValue value;
+  for (int i = 0; i < 20; ++i) {
+    value = value.changedTo("{}", "vm/" + std::to_string(i));
+  }
+  CHECK(value.writers().size() == StoredValue::kMaxWriters);
+  CHECK(value.writtenBy("vm/19"));
+}
