Add the operators' gRPC server and client

Cause: operators change the configuration through calls of a schema, and the daemon must not depend on gRPC beyond one class. Change: OperatorService with token check, deadlines and limits, OperatorClient, ChangeRunner and ChangeRequests for the daemon.

--- /dev/null
+++ b/libs/configuration/include/configuration/ChangeRequests.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <configuration/ChangeCoordinator.h>
+#include <configuration/ConfigSnapshot.h>
+
+#include <set>
+#include <string>
+#include <variant>
+
+namespace sycamore::configuration {
+
+// Common parts of an operator's request.
+struct ChangeBasis
+{
+  // The version that the operator saw.
+  base::Version base;
+  std::string writer;
+  bool dryRun = false;
+  base::TimePoint deadline;
+};
+
+// A change that may be run, or the outcome that refuses it.
+using CheckedChange = std::variant<ConfigChange, ChangeOutcome>;
+
+// Turn operators' requests into checked changes. Known failure domains are those of the snapshot
+// and of the platform's VM list. Stateless; safe from all threads.
+
+// Ignores the base: the service must not exist.
+CheckedChange createService(const base::ServiceId& service,
+                            const std::string& document,
+                            const std::set<base::DomainId>& knownDomains,
+                            ChangeBasis basis);
+// `snapshot` gives the fields that can't be changed.
+CheckedChange updateService(const base::ServiceId& service,
+                            const std::string& document,
+                            const std::set<base::DomainId>& knownDomains,
+                            const ConfigSnapshot& snapshot,
+                            ChangeBasis basis);
+CheckedChange deleteService(const base::ServiceId& service, ChangeBasis basis);
+// Base 0 for a domain whose state was never changed.
+CheckedChange setDomainState(const DomainConfig& domain,
+                             const std::set<base::DomainId>& knownDomains,
+                             ChangeBasis basis);
+
+} // namespace sycamore::configuration
--- a/libs/configuration/src/ChangeCoordinator.cpp
+++ b/libs/configuration/src/ChangeCoordinator.cpp
@@ -37,6 +37,9 @@
   if (deleted && change_.document.empty()) {
     return refused("the object is already deleted");
   }
+  if (expired(now)) {
+    return refused("not stored before the deadline; nothing was changed");
+  }
   return write(current, now);
 }
 
@@ -109,9 +112,8 @@
     return readAgain(now);
   }
   if (!mayBeStored_) {
-    // A create meets a tombstone that this VM didn't know.
-    return write_->ifVersion == base::Version() ? proceedFrom(current, now)
-                                                : ChangeStep(conflict(current));
+    // A create may have met a tombstone that this VM didn't know; all else is a conflict.
+    return proceedFrom(current, now);
   }
   return historyReachesBase(stored.writers()) ? conflict(current) : inDoubt(current);
 }
--- /dev/null
+++ b/libs/operators/src/TokenCheck.cpp
@@ -0,0 +1,65 @@
+#include "TokenCheck.h"
+
+#include <operators/OperatorError.h>
+
+#include <set>
+
+namespace sycamore::operators {
+
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+constexpr std::size_t kMinTokenBytes = 16;
+
+// Takes the same time wherever the texts differ, so that answers don't reveal a token bytewise.
+bool equalInConstantTime(std::string_view left, std::string_view right)
+{
+  if (left.size() != right.size()) {
+    return false;
+  }
+  unsigned char difference = 0;
+  for (std::size_t i = 0; i < left.size(); ++i) {
+    difference = static_cast<unsigned char>(difference | (left[i] ^ right[i]));
+  }
+  return difference == 0;
+}
+
+} // namespace
+
+TokenCheck::TokenCheck(std::vector<OperatorToken> tokens, bool allowWithoutToken)
+  : tokens_(std::move(tokens))
+  , allowWithoutToken_(allowWithoutToken)
+{
+  std::set<std::string_view> seen;
+  for (const OperatorToken& token : tokens_) {
+    if (token.token.size() < kMinTokenBytes) {
+      throw OperatorError(OperatorErrorCode::InvalidArgument,
+                          "token of \"" + token.name + "\" is shorter than 16 bytes");
+    }
+    if (!seen.insert(token.token).second) {
+      throw OperatorError(OperatorErrorCode::InvalidArgument,
+                          "token of \"" + token.name + "\" belongs to another operator too");
+    }
+  }
+}
+
+std::optional<OperatorToken> TokenCheck::identify(std::string_view authorization) const
+{
+  if (authorization.empty()) {
+    return allowWithoutToken_ ? std::optional(OperatorToken{ "", "", OperatorRole::Change })
+                              : std::nullopt;
+  }
+  if (!authorization.starts_with(kScheme)) {
+    return std::nullopt;
+  }
+  authorization.remove_prefix(kScheme.size());
+  std::optional<OperatorToken> found;
+  for (const OperatorToken& token : tokens_) {
+    if (equalInConstantTime(token.token, authorization)) {
+      found = token;
+    }
+  }
+  return found;
+}
+
+} // namespace sycamore::operators
