Add the requests and admission libraries with tests

Cause: outcomes, retries, at-most-once, quarantine and admission to a server are decisions that the daemon needs as code without HTTP, threads or clocks. Ruled out: remembering a crash by its oldest report, since a clearance then drops it or not depending on the order of merging (found by the property test); freeing all slots on a restart, since a request sent just before the grant answer may run on the new process; a token bucket that saves retries of old successes, since it pays for a burst when all servers fail. Load and latency are not measured yet.

--- a/libs/admission/include/admission/FairQueue.h
+++ b/libs/admission/include/admission/FairQueue.h
@@ -19,6 +19,15 @@
   std::size_t maxBytes = 4 * 1024 * 1024;
 };
 
+// How fast the queue is served at present.
+struct DrainEstimate
+{
+  // Mean time between two dispatches.
+  base::Duration perItem{};
+  // Mean time of one request on the server.
+  base::Duration serviceTime{};
+};
+
 // Result of a push.
 struct PushResult
 {
@@ -38,12 +47,16 @@
 {
 public:
   explicit FairQueue(FairQueueSettings settings = {});
+  FairQueue(const FairQueue&) = delete;
+  FairQueue& operator=(const FairQueue&) = delete;
+
+  // Adds work, unless by the estimate it would not be finished before its deadline.
+  PushResult push(QueuedWork work, const DrainEstimate& estimate, base::TimePoint now);
 
-  // Adds work, unless it would start after its deadline less one `perItem`. `perItem` is the
-  // present mean time between two dispatches of this queue.
-  PushResult push(QueuedWork work, base::Duration perItem, base::TimePoint now);
+  // The next work in turn whose deadline has not passed, left in the queue; null if there is none.
+  const QueuedWork* front(base::TimePoint now) const;
 
-  // The next work in turn whose deadline has not passed. Call takeExpired() before.
+  // Removes and returns front().
   std::optional<QueuedWork> pop(base::TimePoint now);
 
   // Removes and returns the work whose deadline has passed.
@@ -70,10 +83,10 @@
   };
   using Flows = std::list<Flow>;
 
+  std::size_t lengthOf(const std::string& flow) const;
   std::size_t position(const std::string& flow) const;
-  bool fits(std::size_t bytes) const;
+  bool fits(std::size_t length, std::size_t bytes) const;
   bool makeRoom(const QueuedWork& work, std::vector<QueuedWork>& displaced);
-  Flows::iterator longest();
   void append(QueuedWork work);
   QueuedWork take(Flows::iterator flow, std::list<QueuedWork>::iterator work);
 
--- a/libs/admission/include/admission/ServerGate.h
+++ b/libs/admission/include/admission/ServerGate.h
@@ -20,10 +20,6 @@
   ColdStartSettings coldStart;
   // A server may go on this long after a request's deadline; the slot is held so long.
   base::Duration endMargin = base::milliseconds(50);
-  // Time of one request before the first was observed.
-  base::Duration initialServiceTime = base::milliseconds(1);
-  // The server was known to be warm when the tenancy began.
-  bool startsWarm = false;
 };
 
 // The end of an attempt whose end is certain.
@@ -33,11 +29,15 @@
   requests::Classification result;
 };
 
-// What the server's holder knows of the server.
+// An answer to a grant. Lagging load reports must not be passed on as such: an old incarnation
+// among newer ones would look like a restart.
 struct ServerReport
 {
   base::Incarnation incarnation;
   ReportedState state = ReportedState::Warm;
+  // When the answered grant was sent. A new incarnation runs nothing that was sent earlier, since
+  // it had no grant.
+  base::TimePoint grantSentAt;
 };
 
 // Admission to one backend server at the entry VM that holds its tenancy: slots, queue and
@@ -65,7 +65,8 @@
   // The caller of queued work went away. Does nothing for work in flight: see abandoned().
   GateActions withdraw(WorkId work, base::TimePoint now);
 
-  // A grant answer or a load report arrived. On another incarnation, all slots are free.
+  // A grant was answered. On another incarnation, abandoned attempts sent before the grant have
+  // certainly ended; others end when their connection breaks.
   GateActions serverChanged(const ServerReport& report, base::TimePoint now);
 
   // Whether a valid grant exists. Without one, queued work waits for its deadline.
@@ -83,7 +84,7 @@
 
   // Attempts that hold a slot.
   std::size_t inFlight() const { return slots_.held(); }
-  std::size_t queued() const;
+  std::size_t queued() const { return queue_.length(); }
   bool cold() const { return limiter_.cold(); }
 
 private:
@@ -92,25 +93,29 @@
     base::TimePoint sentAt;
     base::TimePoint deadline;
     bool alone = false;
+    bool abandoned = false;
   };
 
-  void dispatchReady(GateActions& actions, base::TimePoint now);
-  bool mayDispatch(const QueuedWork& next, base::TimePoint now) const;
+  void proceed(GateActions& actions, base::TimePoint now);
+  bool slotFor(const QueuedWork& work) const;
   void dispatch(const QueuedWork& work, GateActions& actions, base::TimePoint now);
-  void refuseExpired(GateActions& actions, base::TimePoint now);
+  void offer(QueuedWork work, GateActions& actions, base::TimePoint now);
   void refuseQueued(requests::Reason reason, GateActions& actions);
   void learn(const Attempt& attempt, const requests::Classification& result, base::TimePoint now);
-  base::Duration perItem() const;
-  std::optional<requests::Reason> closedReason() const;
+  void end(WorkId work);
+  void endBeforeRestart();
+  DrainEstimate estimate() const;
+  requests::Reason pressure() const;
+  requests::Reason closed() const;
 
   ServerGateSettings settings_;
   SlotGate slots_;
   FairQueue queue_;
   ColdStartLimiter limiter_;
   std::unordered_map<WorkId, Attempt> attempts_;
-  // The next work in turn, taken from the queue but waiting for a slot, the rate, or to be alone.
-  std::optional<QueuedWork> next_;
   std::optional<base::Incarnation> incarnation_;
+  // Nothing sent earlier runs on the present incarnation.
+  base::TimePoint restartedAt_{};
   double serviceNanos_;
   std::size_t aloneInFlight_ = 0;
   bool granted_ = true;
--- a/libs/admission/include/admission/ServerPicker.h
+++ b/libs/admission/include/admission/ServerPicker.h
@@ -16,7 +16,8 @@
 
 struct PickerSettings
 {
-  // Candidates drawn at random for a pick; all servers when there are no more than this.
+  // Candidates drawn at random for a pick, at least 1; all servers when there are no more than
+  // this.
   std::size_t choices = 32;
   // Time after which a slow observation has lost half of its weight, so that a server is tried
   // again.
@@ -47,7 +48,8 @@
                                      const base::ServerId* except = nullptr)
   {
     draw(random);
-    return best(now, except, random() % (candidates_.empty() ? 1 : candidates_.size()));
+    // Starts at a random candidate, so that equal ones share the load.
+    return best(now, except, static_cast<std::size_t>(random() % (servers_.size() + 1)));
   }
 
   // A request was sent to the server, until noteFinished() with the same id.
@@ -89,12 +91,15 @@
   std::optional<base::ServerId> best(base::TimePoint now,
                                      const base::ServerId* except,
                                      std::size_t offset) const;
+  void observe(Server& server, double latencyNanos, base::TimePoint now) const;
+  double expectedLatency(const Server& server, base::TimePoint now) const;
   double expectedWait(const Server& server, base::TimePoint now) const;
+  void resetCandidates();
   Server* find(const base::ServerId& server);
 
   PickerSettings settings_;
   std::vector<Server> servers_;
-  // Indexes of servers_; the first ones are the candidates of the present pick.
+  // Indexes of the available servers; the first `choices` are the candidates of the present pick.
   std::vector<std::size_t> candidates_;
 };
 
--- a/libs/admission/include/admission/SlotGate.h
+++ b/libs/admission/include/admission/SlotGate.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace sycamore::admission {
 
@@ -21,6 +22,8 @@
 {
 public:
   explicit SlotGate(unsigned slots);
+  SlotGate(const SlotGate&) = delete;
+  SlotGate& operator=(const SlotGate&) = delete;
 
   // Takes a slot. False when all are held.
   bool tryAcquire(WorkId work);
@@ -32,15 +35,12 @@
   // until release() or until `until`.
   void abandon(WorkId work, base::TimePoint until);
 
-  // Frees the slots of abandoned attempts that have ended by now. Returns how many.
-  std::size_t releaseEnded(base::TimePoint now);
+  // Frees the slots of abandoned attempts that have ended by now, and returns these.
+  std::vector<WorkId> releaseEnded(base::TimePoint now);
 
   // When the next abandoned slot becomes free.
   std::optional<base::TimePoint> nextRelease() const;
 
-  // The server started anew: nothing runs there.
-  void releaseAll();
-
   // Fewer slots than are held is allowed; no new one is given until enough are released.
   void setSlots(unsigned slots) { slots_ = slots; }
 
@@ -52,8 +52,8 @@
   using Abandoned = std::multimap<base::TimePoint, WorkId>;
 
   unsigned slots_;
-  // The end of an abandoned attempt, or the end of the map for one that is waited for.
-  std::unordered_map<WorkId, Abandoned::iterator> held_;
+  // With the entry in abandoned_ for an attempt that nobody waits for.
+  std::unordered_map<WorkId, std::optional<Abandoned::iterator>> held_;
   Abandoned abandoned_;
 };
 
--- /dev/null
+++ b/libs/admission/src/BackoffGate.cpp
@@ -0,0 +1,36 @@
+#include <admission/BackoffGate.h>
+
+namespace sycamore::admission {
+
+BackoffGate::BackoffGate(requests::BackoffSettings settings)
+  : backoff_(settings)
+{
+}
+
+bool BackoffGate::open(base::TimePoint now) const
+{
+  return failures_ == 0 || (!probing_ && now >= closedUntil_);
+}
+
+std::optional<base::TimePoint> BackoffGate::nextOpening() const
+{
+  return probing_ ? std::nullopt : std::optional(closedUntil_);
+}
+
+void BackoffGate::noteSent()
+{
+  probing_ = failures_ > 0;
+}
+
+void BackoffGate::noteSuccess()
+{
+  failures_ = 0;
+  probing_ = false;
+}
+
+void BackoffGate::noteNothing()
+{
+  probing_ = false;
+}
+
+} // namespace sycamore::admission
--- /dev/null
+++ b/libs/admission/src/ServerGate.cpp
@@ -0,0 +1,267 @@
+#include <admission/ServerGate.h>
+
+#include <algorithm>
+
+namespace sycamore::admission {
+
+namespace {
+
+using requests::Outcome;
+using requests::Reason;
+
+// Weight of one answer in the mean service time.
+constexpr double kServiceWeight = 1.0 / 16;
+
+GateAction refusal(WorkId work, Reason reason, base::Duration retryAfter = {})
+{
+  return { GateAction::Kind::Refuse, work, reason, retryAfter };
+}
+
+} // namespace
+
+ServerGate::ServerGate(ServerGateSettings settings, base::TimePoint now)
+  : settings_(settings)
+  , slots_(settings.slots)
+  , queue_(settings.queue)
+  , limiter_(settings.coldStart, settings.slots, now)
+  , serviceNanos_(static_cast<double>(settings.coldStart.assumedLatency.count()))
+{
+}
+
+GateActions ServerGate::enqueue(QueuedWork work, base::TimePoint now)
+{
+  GateActions actions;
+  if (const Reason reason = closed(); reason != Reason::None) {
+    actions.push_back(refusal(work.id, reason));
+  } else if (work.deadline <= now) {
+    actions.push_back(refusal(work.id, Reason::Expired));
+  } else {
+    proceed(actions, now);
+    offer(std::move(work), actions, now);
+  }
+  return actions;
+}
+
+GateActions ServerGate::finished(const AttemptEnded& ended, base::TimePoint now)
+{
+  GateActions actions;
+  const auto attempt = attempts_.find(ended.work);
+  if (attempt != attempts_.end()) {
+    learn(attempt->second, ended.result, now);
+    end(ended.work);
+  }
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::abandoned(WorkId work, base::TimePoint now)
+{
+  GateActions actions;
+  if (const auto attempt = attempts_.find(work); attempt != attempts_.end()) {
+    attempt->second.abandoned = true;
+    limiter_.noteUnanswered(now - attempt->second.sentAt, now);
+    slots_.abandon(work, attempt->second.deadline + settings_.endMargin);
+    endBeforeRestart();
+  }
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::cancelConfirmed(WorkId work, base::TimePoint now)
+{
+  GateActions actions;
+  end(work);
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::withdraw(WorkId work, base::TimePoint now)
+{
+  GateActions actions;
+  queue_.remove(work);
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::serverChanged(const ServerReport& report, base::TimePoint now)
+{
+  GateActions actions;
+  if (incarnation_ && *incarnation_ != report.incarnation) {
+    restartedAt_ = report.grantSentAt;
+    endBeforeRestart();
+  }
+  incarnation_ = report.incarnation;
+  limiter_.noteReport(report.incarnation, report.state, now);
+  draining_ = report.state == ReportedState::Draining;
+  if (draining_) {
+    refuseQueued(Reason::Draining, actions);
+  }
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::setGranted(bool granted, base::TimePoint now)
+{
+  GateActions actions;
+  granted_ = granted;
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::tenancyLost(base::TimePoint now)
+{
+  GateActions actions;
+  lost_ = true;
+  refuseQueued(Reason::NotHolder, actions);
+  proceed(actions, now);
+  return actions;
+}
+
+GateActions ServerGate::wake(base::TimePoint now)
+{
+  GateActions actions;
+  proceed(actions, now);
+  return actions;
+}
+
+std::optional<base::TimePoint> ServerGate::nextWakeUp(base::TimePoint now) const
+{
+  std::optional<base::TimePoint> next = queue_.nextDeadline();
+  const auto consider = [&next](base::TimePoint time) {
+    next = next ? std::min(*next, time) : time;
+  };
+  if (const auto release = slots_.nextRelease()) {
+    consider(*release);
+  }
+  const QueuedWork* const front = queue_.front(now);
+  if (front != nullptr && granted_ && slotFor(*front)) {
+    consider(std::max(now, limiter_.nextDispatch(now)));
+  }
+  return next;
+}
+
+void ServerGate::setSlots(unsigned slots)
+{
+  slots_.setSlots(slots);
+  limiter_.setSlots(slots);
+}
+
+// Frees what has ended, refuses what has expired, dispatches what is possible.
+void ServerGate::proceed(GateActions& actions, base::TimePoint now)
+{
+  for (const WorkId work : slots_.releaseEnded(now)) {
+    end(work);
+  }
+  for (const QueuedWork& work : queue_.takeExpired(now)) {
+    actions.push_back(refusal(work.id, Reason::Expired));
+  }
+  for (const QueuedWork* front = queue_.front(now);
+       front != nullptr && granted_ && slotFor(*front) && limiter_.nextDispatch(now) <= now;
+       front = queue_.front(now)) {
+    dispatch(*queue_.pop(now), actions, now);
+  }
+}
+
+bool ServerGate::slotFor(const QueuedWork& work) const
+{
+  if (aloneInFlight_ > 0 || (work.alone && slots_.held() > 0)) {
+    return false;
+  }
+  return slots_.held() < std::min(slots_.slots(), limiter_.concurrency());
+}
+
+void ServerGate::dispatch(const QueuedWork& work, GateActions& actions, base::TimePoint now)
+{
+  if (!slots_.tryAcquire(work.id)) {
+    actions.push_back(refusal(work.id, Reason::Internal));
+    return;
+  }
+  attempts_[work.id] = { now, work.deadline, work.alone };
+  aloneInFlight_ += work.alone ? 1 : 0;
+  limiter_.noteDispatch(now);
+  actions.push_back({ GateAction::Kind::Dispatch, work.id, Reason::None, {} });
+}
+
+// Dispatches at once where nothing waits and a slot is free. The estimate doesn't apply then, or a
+// server that looks too slow would never get the request that shows that it is not.
+void ServerGate::offer(QueuedWork work, GateActions& actions, base::TimePoint now)
+{
+  if (queue_.empty() && granted_ && slotFor(work) && limiter_.nextDispatch(now) <= now) {
+    dispatch(work, actions, now);
+    return;
+  }
+  const WorkId id = work.id;
+  const PushResult pushed = queue_.push(std::move(work), estimate(), now);
+  for (const QueuedWork& displaced : pushed.displaced) {
+    actions.push_back(refusal(displaced.id, pressure(), estimate().perItem));
+  }
+  if (!pushed.queued) {
+    actions.push_back(refusal(id, pressure(), pushed.retryAfter));
+  }
+}
+
+void ServerGate::refuseQueued(Reason reason, GateActions& actions)
+{
+  for (const QueuedWork& work : queue_.takeAll()) {
+    actions.push_back(refusal(work.id, reason));
+  }
+}
+
+void ServerGate::learn(const Attempt& attempt,
+                       const requests::Classification& result,
+                       base::TimePoint now)
+{
+  if (result.outcome == Outcome::Ran) {
+    const base::Duration latency = now - attempt.sentAt;
+    limiter_.noteSuccess(latency, now);
+    serviceNanos_ += (static_cast<double>(latency.count()) - serviceNanos_) * kServiceWeight;
+  } else if (result.outcome == Outcome::NotRun) {
+    limiter_.noteRefusal(result.reason, now);
+  }
+}
+
+void ServerGate::end(WorkId work)
+{
+  slots_.release(work);
+  const auto attempt = attempts_.find(work);
+  if (attempt != attempts_.end()) {
+    aloneInFlight_ -= attempt->second.alone ? 1 : 0;
+    attempts_.erase(attempt);
+  }
+}
+
+void ServerGate::endBeforeRestart()
+{
+  std::vector<WorkId> ended;
+  for (const auto& [work, attempt] : attempts_) {
+    if (attempt.abandoned && attempt.sentAt < restartedAt_) {
+      ended.push_back(work);
+    }
+  }
+  for (const WorkId work : ended) {
+    end(work);
+  }
+}
+
+DrainEstimate ServerGate::estimate() const
+{
+  const unsigned parallel = std::max(1U, std::min(slots_.slots(), limiter_.concurrency()));
+  const base::Duration service(static_cast<base::Duration::rep>(serviceNanos_));
+  return { service / parallel, service };
+}
+
+// Why there is no room.
+Reason ServerGate::pressure() const
+{
+  return limiter_.cold() ? Reason::Cold : Reason::Overloaded;
+}
+
+Reason ServerGate::closed() const
+{
+  if (lost_) {
+    return Reason::NotHolder;
+  }
+  return draining_ ? Reason::Draining : Reason::None;
+}
+
+} // namespace sycamore::admission
--- /dev/null
+++ b/libs/admission/tests/ServerGateTest.cpp
@@ -0,0 +1,193 @@
+#include <admission/ServerGate.h>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace sycamore;
+using namespace sycamore::admission;
+using namespace std::chrono_literals;
+using requests::Outcome;
+using requests::Reason;
+
+namespace {
+
+const base::TimePoint kStart{ 1000s };
+const requests::Classification kRan{ Outcome::Ran, Reason::None };
+
+QueuedWork item(std::uint64_t id, base::TimePoint deadline = kStart + 1s, bool alone = false)
+{
+  return { WorkId(id), "caller", deadline, 10, alone };
+}
+
+ServerReport report(std::uint64_t incarnation, ReportedState state, base::TimePoint sentAt)
+{
+  return { base::Incarnation(incarnation), state, sentAt };
+}
+
+class WarmGate
+{
+public:
+  WarmGate() { gate.serverChanged(report(1, ReportedState::Warm, kStart), kStart); }
+
+  ServerGate gate{ {}, kStart };
+};
+
+std::size_t dispatched(const GateActions& actions)
+{
+  std::size_t count = 0;
+  for (const GateAction& action : actions) {
+    count += action.kind == GateAction::Kind::Dispatch ? 1 : 0;
+  }
+  return count;
+}
+
+// Runs random events against a gate and a server that ends each attempt some time later, also after
+// the dispatcher gave up on it.
+class Simulation
+{
+public:
+  explicit Simulation(std::uint64_t seed)
+    : random_(seed)
+  {
+    gate_.serverChanged(report(1, ReportedState::Warm, now_), now_);
+  }
+
+  void run()
+  {
+    for (std::uint64_t id = 0; id < 500; ++id) {
+      now_ += std::chrono::microseconds(random_() % 800);
+      endRun();
+      deadlines_[WorkId(id)] = now_ + std::chrono::milliseconds(1 + random_() % 20);
+      apply(gate_.enqueue(item(id, deadlines_[WorkId(id)], random_() % 20 == 0), now_));
+      apply(gate_.wake(now_));
+      if (random_() % 100 == 0) {
+        apply(gate_.setGranted(random_() % 2 == 0, now_));
+      }
+    }
+    apply(gate_.tenancyLost(now_));
+    for (std::uint64_t id = 0; id < 500; ++id) {
+      RC_ASSERT(decisions_[WorkId(id)] == 1);
+    }
+  }
+
+private:
+  // The server honours deadlines: an attempt ends by then at the latest.
+  void endRun()
+  {
+    for (auto run = running_.begin(); run != running_.end();) {
+      const WorkId work = *run;
+      const bool over = deadlines_[work] <= now_ || random_() % 3 == 0;
+      run = over ? running_.erase(run) : std::next(run);
+      if (over && given_.erase(work) == 0) {
+        apply(gate_.finished({ work, kRan }, now_));
+      } else if (!over && random_() % 10 == 0 && given_.insert(work).second) {
+        apply(gate_.abandoned(work, now_));
+      }
+    }
+  }
+
+  void apply(const GateActions& actions)
+  {
+    for (const GateAction& action : actions) {
+      ++decisions_[action.work];
+      if (action.kind == GateAction::Kind::Dispatch) {
+        RC_ASSERT(deadlines_[action.work] > now_);
+        started_.insert(action.work);
+      }
+    }
+    running_.merge(started_);
+    RC_ASSERT(running_.size() <= 2U);
+  }
+
+  std::mt19937_64 random_;
+  base::TimePoint now_ = kStart;
+  ServerGate gate_{ {}, kStart };
+  std::map<WorkId, base::TimePoint> deadlines_;
+  std::map<WorkId, int> decisions_;
+  std::set<WorkId> running_;
+  std::set<WorkId> started_;
+  std::set<WorkId> given_;
+};
+
+} // namespace
+
+// Guards against more requests on a server than it has slots, against expired dispatches, and
+// against requests that are decided twice or never.
+TEST_CASE("slots are never exceeded and every request is decided once under random events")
+{
+  CHECK(rc::check([](std::uint64_t seed) { Simulation(seed).run(); }));
+}
+
+// Guards against lost queued work when the tenancy passes on: its callers must learn "not run".
+TEST_CASE("queued work is returned when the tenancy is lost, and later work is refused")
+{
+  WarmGate warm;
+  for (std::uint64_t id = 0; id < 5; ++id) {
+    warm.gate.enqueue(item(id), kStart);
+  }
+  CHECK(warm.gate.inFlight() == 2);
+  const GateActions lost = warm.gate.tenancyLost(kStart);
+  CHECK(lost.size() == 3);
+  CHECK(dispatched(lost) == 0);
+  CHECK(lost.front().reason == Reason::NotHolder);
+  CHECK(warm.gate.enqueue(item(9), kStart).front().reason == Reason::NotHolder);
+  CHECK(dispatched(warm.gate.finished({ WorkId(0), kRan }, kStart)) == 0);
+}
+
+// Guards against new work on a server that drains or has no grant.
+TEST_CASE("a draining server gets nothing and one without a grant gets nothing until it is back")
+{
+  WarmGate warm;
+  warm.gate.setGranted(false, kStart);
+  CHECK(warm.gate.enqueue(item(1), kStart).empty());
+  CHECK(warm.gate.nextWakeUp(kStart) == kStart + 1s);
+  CHECK(dispatched(warm.gate.setGranted(true, kStart)) == 1);
+  warm.gate.enqueue(item(2), kStart);
+  warm.gate.enqueue(item(3), kStart);
+  const GateActions draining =
+    warm.gate.serverChanged(report(1, ReportedState::Draining, kStart), kStart);
+  CHECK(draining.size() == 1);
+  CHECK(warm.gate.enqueue(item(4), kStart).front().reason == Reason::Draining);
+}
+
+// Guards against slots that a crash blocks until the deadlines, and against freeing what runs on
+// the new process.
+TEST_CASE("a restart ends abandoned attempts that were sent before it, and no others")
+{
+  WarmGate warm;
+  warm.gate.enqueue(item(1), kStart);
+  warm.gate.enqueue(item(2), kStart + 9ms);
+  warm.gate.abandoned(WorkId(1), kStart + 10ms);
+  warm.gate.abandoned(WorkId(2), kStart + 10ms);
+  warm.gate.serverChanged(report(2, ReportedState::Cold, kStart + 5ms), kStart + 20ms);
+  CHECK(warm.gate.inFlight() == 1);
+  CHECK(warm.gate.cold());
+}
+
+// Guards against a suspect that shares its server with other work: its crash would prove nothing.
+TEST_CASE("a suspect runs with nothing else on its server")
+{
+  WarmGate warm;
+  warm.gate.enqueue(item(1), kStart);
+  CHECK(warm.gate.enqueue(item(2, kStart + 1s, true), kStart).empty());
+  CHECK(warm.gate.enqueue(item(3), kStart).empty());
+  CHECK(dispatched(warm.gate.finished({ WorkId(1), kRan }, kStart)) == 1);
+  CHECK(warm.gate.inFlight() == 1);
+  CHECK(dispatched(warm.gate.finished({ WorkId(2), kRan }, kStart)) == 1);
+}
+
+// Guards against a server that looks too slow and so never gets the request that would show that it
+// is not.
+TEST_CASE("an idle server gets a request whatever its estimated time")
+{
+  WarmGate warm;
+  for (std::uint64_t id = 0; id < 50; ++id) {
+    const base::TimePoint sent = kStart + id * 1s;
+    CHECK(dispatched(warm.gate.enqueue(item(id, sent + 2s), sent)) == 1);
+    warm.gate.finished({ WorkId(id), kRan }, sent + 900ms);
+  }
+  CHECK(dispatched(warm.gate.enqueue(item(99, kStart + 60s + 5ms), kStart + 60s)) == 1);
+}
--- a/libs/requests/include/requests/Outcome.h
+++ b/libs/requests/include/requests/Outcome.h
@@ -20,4 +20,8 @@
 // The outcome named by a Sycamore-Outcome header, or nothing for any other word.
 std::optional<Outcome> parseOutcome(std::string_view word);
 
+// What is known of a request after several attempts: it ran if one did, and is unknown as long as
+// one of them may have run. A refusal of the last attempt doesn't undo an earlier unknown one.
+Outcome combineOutcomes(Outcome earlier, Outcome latest);
+
 } // namespace sycamore::requests
--- a/libs/requests/include/requests/Quarantine.h
+++ b/libs/requests/include/requests/Quarantine.h
@@ -18,9 +18,10 @@
 {
   // Crashed servers after which a subject is refused, in one failure domain or over several.
   std::size_t condemnAfter = 2;
-  // Life of crash evidence and of a verdict since its last crash.
+  // Life of crash evidence. A verdict ends when too little live evidence is left; the subject then
+  // runs alone again.
   base::Duration evidenceLife = std::chrono::minutes(10);
-  // Most subjects remembered. Beyond it those whose newest crash is oldest are forgotten.
+  // Most subjects remembered. Beyond it the oldest that are not condemned are forgotten.
   std::size_t maxSubjects = 4096;
 };
 
@@ -55,7 +56,8 @@
 
   Treatment check(const WorkIdentity& work, base::TimePoint now) const;
 
-  // Records a crash. A server and incarnation count once per subject.
+  // Records a crash. A server and incarnation count once per subject, but a report repeated after
+  // a clearance or a lift counts as new evidence: report each crash once.
   void noteCrash(const CrashReport& crash, base::TimePoint now, WallTime wallNow);
 
   // The work completed on a server that did not crash: clears suspects, but not what is condemned.
@@ -80,13 +82,12 @@
 private:
   using Subjects = std::unordered_map<std::string, QuarantineRecord>;
 
-  bool isCondemned(const std::string& subject, base::TimePoint now) const;
+  QuarantineRecord& recordOf(const std::string& subject);
+  bool isCondemned(const QuarantineRecord& record, base::TimePoint now) const;
   std::vector<CrashEvidence> liveEvidence(const QuarantineRecord& record,
                                           base::TimePoint now) const;
-  void addEvidence(const std::string& subject, CrashEvidence evidence);
-  void clear(QuarantineRecord& record, base::TimePoint now, WallTime wallNow);
   void forgetExpired(base::TimePoint now);
-  void enforceLimit();
+  void enforceLimit(base::TimePoint now);
 
   QuarantineSettings settings_;
   Subjects subjects_;
--- a/libs/requests/include/requests/RequestLedger.h
+++ b/libs/requests/include/requests/RequestLedger.h
@@ -8,13 +8,12 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
-#include <queue>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 namespace sycamore::requests {
 
@@ -26,7 +25,7 @@
   std::size_t maxBytes = 16 * 1024 * 1024;
   // Larger answers are remembered without their body.
   std::size_t maxStoredAnswer = 16 * 1024;
-  // Requests whose id is older are refused and may be forgotten.
+  // Requests whose id is older are refused. A settled request is remembered this long.
   base::Duration retention = std::chrono::minutes(2);
   // Largest difference between a caller's clock and ours.
   base::Duration clockSkew = std::chrono::seconds(5);
@@ -79,8 +78,11 @@
 public:
   // `start` and `wallStart` are one moment, read from both clocks.
   RequestLedger(LedgerSettings settings, base::TimePoint start, WallTime wallStart);
+  RequestLedger(const RequestLedger&) = delete;
+  RequestLedger& operator=(const RequestLedger&) = delete;
 
-  // Decides on an arriving request and records it as in progress if it may run.
+  // Decides on an arriving request and records it as in progress if it may run. It stays so over
+  // all attempts that follow from this one call.
   LedgerDecision begin(const LedgerRequest& request, base::TimePoint now);
 
   // The request ran and was answered. Also corrects a request that was marked unknown.
@@ -92,9 +94,6 @@
   // The request provably did not run: it is forgotten and a resend may run.
   void markNotRun(std::string_view id, base::TimePoint now);
 
-  // The retry of a request whose first attempt is settled as not run continues in progress; no call
-  // is needed between the attempts of one begin().
-
   std::size_t size() const { return entries_.size(); }
   std::size_t answerBytes() const { return answerBytes_; }
 
@@ -110,7 +109,12 @@
     State state = State::InProgress;
     std::uint64_t fingerprint = 0;
     StoredAnswer answer;
+    // Set once settled.
+    std::optional<WallTime> expiry;
+    // Position in bodies_ while a body is kept.
+    std::optional<std::list<Uuid7>::iterator> body;
   };
+  using Entries = std::unordered_map<Uuid7, Entry>;
   using Expiry = std::pair<WallTime, Uuid7>;
 
   WallTime wallAt(base::TimePoint now) const;
@@ -119,18 +123,21 @@
                                              WallTime wallNow) const;
   LedgerDecision repeat(const Entry& entry, const LedgerRequest& request) const;
   LedgerDecision refuseFull(WallTime wallNow) const;
-  Entry* find(std::string_view id);
-  void store(const Uuid7& id, Entry& entry, StoredAnswer answer);
-  void dropOldestBodies();
+  Entries::iterator find(std::string_view id);
+  void settle(Entries::iterator entry, State state, base::TimePoint now);
+  void keep(Entries::iterator entry, StoredAnswer answer);
+  void dropBody(Entry& entry);
+  void forget(Entries::iterator entry);
   void forgetOld(WallTime wallNow);
 
   LedgerSettings settings_;
   base::TimePoint start_;
   WallTime wallStart_;
-  std::unordered_map<Uuid7, Entry> entries_;
-  std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> expiries_;
+  Entries entries_;
+  // Settled entries; one in progress is never forgotten.
+  std::set<Expiry> expiries_;
   // Ids with a kept body, oldest first.
-  std::deque<Uuid7> bodies_;
+  std::list<Uuid7> bodies_;
   std::size_t answerBytes_ = 0;
 };
 
--- a/libs/requests/include/requests/RetryPolicy.h
+++ b/libs/requests/include/requests/RetryPolicy.h
@@ -25,7 +25,8 @@
 {
   bool retry = false;
   base::TimePoint notBefore;
-  // Reason to report when retry is false. The outcome stays that of the last attempt.
+  // Reason to report when retry is false. The outcome to report is that of all attempts together,
+  // see combineOutcomes().
   Reason refusal = Reason::None;
 };
 
--- a/libs/requests/include/requests/Uuid7.h
+++ b/libs/requests/include/requests/Uuid7.h
@@ -4,7 +4,6 @@
 #include <base/Random.h>
 #include <requests/WallTime.h>
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -32,7 +31,12 @@
   std::uint64_t high() const { return high_; }
   std::uint64_t low() const { return low_; }
 
-  friend auto operator<=>(const Uuid7&, const Uuid7&) = default;
+  friend bool operator==(const Uuid7&, const Uuid7&) = default;
+  // Ids are ordered by their time.
+  friend bool operator<(const Uuid7& a, const Uuid7& b)
+  {
+    return a.high_ != b.high_ ? a.high_ < b.high_ : a.low_ < b.low_;
+  }
 
 private:
   Uuid7(std::uint64_t high, std::uint64_t low)
--- /dev/null
+++ b/libs/requests/src/RequestLedger.cpp
@@ -0,0 +1,186 @@
+#include <requests/RequestLedger.h>
+
+#include <algorithm>
+
+namespace sycamore::requests {
+
+namespace {
+
+LedgerDecision refuse(Outcome outcome, Reason reason)
+{
+  return { LedgerVerdict::Refuse, outcome, reason, std::nullopt, {} };
+}
+
+std::size_t bytesOf(const StoredAnswer& answer)
+{
+  return answer.body.size() + answer.contentType.size();
+}
+
+} // namespace
+
+RequestLedger::RequestLedger(LedgerSettings settings, base::TimePoint start, WallTime wallStart)
+  : settings_(settings)
+  , start_(start)
+  , wallStart_(wallStart)
+{
+}
+
+LedgerDecision RequestLedger::begin(const LedgerRequest& request, base::TimePoint now)
+{
+  const WallTime wallNow = wallAt(now);
+  forgetOld(wallNow);
+  const std::optional<Uuid7> id = Uuid7::parse(request.id);
+  if (!id) {
+    return refuse(Outcome::NotRun, Reason::BadRequest);
+  }
+  if (const auto known = entries_.find(*id); known != entries_.end()) {
+    return repeat(known->second, request);
+  }
+  if (auto refusal = refuseByTime(request, *id, wallNow)) {
+    return *std::move(refusal);
+  }
+  if (entries_.size() >= settings_.maxEntries) {
+    return refuseFull(wallNow);
+  }
+  entries_[*id].fingerprint = request.fingerprint;
+  return { LedgerVerdict::Run, Outcome::Unknown, Reason::None, std::nullopt, {} };
+}
+
+void RequestLedger::markRan(std::string_view id, StoredAnswer answer, base::TimePoint now)
+{
+  const auto entry = find(id);
+  if (entry == entries_.end() || entry->second.state == State::Ran) {
+    return;
+  }
+  settle(entry, State::Ran, now);
+  keep(entry, std::move(answer));
+}
+
+void RequestLedger::markUnknown(std::string_view id, base::TimePoint now)
+{
+  const auto entry = find(id);
+  if (entry != entries_.end() && entry->second.state == State::InProgress) {
+    settle(entry, State::Unknown, now);
+  }
+}
+
+void RequestLedger::markNotRun(std::string_view id, base::TimePoint now)
+{
+  const auto entry = find(id);
+  if (entry != entries_.end() && entry->second.state == State::InProgress) {
+    forget(entry);
+  }
+  forgetOld(wallAt(now));
+}
+
+WallTime RequestLedger::wallAt(base::TimePoint now) const
+{
+  return wallStart_ + std::chrono::floor<std::chrono::milliseconds>(now - start_);
+}
+
+std::optional<LedgerDecision> RequestLedger::refuseByTime(const LedgerRequest& request,
+                                                          const Uuid7& id,
+                                                          WallTime wallNow) const
+{
+  const auto skew = std::chrono::ceil<std::chrono::milliseconds>(settings_.clockSkew);
+  if (id.time() > wallNow + skew) {
+    return refuse(Outcome::NotRun, Reason::BadRequest);
+  }
+  if (id.time() + settings_.retention <= wallNow) {
+    return refuse(Outcome::Unknown, Reason::ResendUnknown);
+  }
+  // A first send is believed within the clock skew; a resend only if its id is certainly newer.
+  const WallTime since = wallAt(std::max(request.responsibleSince, start_));
+  const WallTime oldest = request.attempt > 1 ? since + skew : since - skew;
+  if (id.time() < oldest) {
+    return refuse(Outcome::Unknown, Reason::ResendUnknown);
+  }
+  return std::nullopt;
+}
+
+LedgerDecision RequestLedger::repeat(const Entry& entry, const LedgerRequest& request) const
+{
+  if (entry.fingerprint != request.fingerprint) {
+    return refuse(Outcome::NotRun, Reason::BadRequest);
+  }
+  switch (entry.state) {
+    case State::InProgress:
+      return refuse(Outcome::Unknown, Reason::InProgress);
+    case State::Ran:
+      return { LedgerVerdict::AnswerAgain, Outcome::Ran, Reason::None, entry.answer, {} };
+    case State::Unknown:
+      break;
+  }
+  return refuse(Outcome::Unknown, Reason::ResendUnknown);
+}
+
+LedgerDecision RequestLedger::refuseFull(WallTime wallNow) const
+{
+  LedgerDecision full = refuse(Outcome::NotRun, Reason::Overloaded);
+  full.retryAfter = expiries_.empty() ? std::chrono::seconds(1)
+                                      : base::Duration(expiries_.begin()->first - wallNow);
+  return full;
+}
+
+RequestLedger::Entries::iterator RequestLedger::find(std::string_view id)
+{
+  const std::optional<Uuid7> parsed = Uuid7::parse(id);
+  return parsed ? entries_.find(*parsed) : entries_.end();
+}
+
+// Remembered for the retention since it was settled: the answer of a long request is needed later
+// than its id is old.
+void RequestLedger::settle(Entries::iterator entry, State state, base::TimePoint now)
+{
+  const auto retention = std::chrono::ceil<std::chrono::milliseconds>(settings_.retention);
+  const WallTime expiry = std::max(entry->first.time(), wallAt(now)) + retention;
+  if (entry->second.expiry) {
+    expiries_.erase({ *entry->second.expiry, entry->first });
+  }
+  entry->second.state = state;
+  entry->second.expiry = expiry;
+  expiries_.emplace(expiry, entry->first);
+}
+
+void RequestLedger::keep(Entries::iterator entry, StoredAnswer answer)
+{
+  Entry& kept = entry->second;
+  kept.answer = std::move(answer);
+  if (bytesOf(kept.answer) > std::min(settings_.maxStoredAnswer, settings_.maxBytes)) {
+    kept.answer = { kept.answer.status, {}, {}, false };
+    return;
+  }
+  kept.body = bodies_.insert(bodies_.end(), entry->first);
+  answerBytes_ += bytesOf(kept.answer);
+  while (answerBytes_ > settings_.maxBytes) {
+    dropBody(entries_.at(bodies_.front()));
+  }
+}
+
+void RequestLedger::dropBody(Entry& entry)
+{
+  answerBytes_ -= bytesOf(entry.answer);
+  bodies_.erase(*entry.body);
+  entry.body.reset();
+  entry.answer = { entry.answer.status, {}, {}, false };
+}
+
+void RequestLedger::forget(Entries::iterator entry)
+{
+  if (entry->second.body) {
+    dropBody(entry->second);
+  }
+  if (entry->second.expiry) {
+    expiries_.erase({ *entry->second.expiry, entry->first });
+  }
+  entries_.erase(entry);
+}
+
+void RequestLedger::forgetOld(WallTime wallNow)
+{
+  while (!expiries_.empty() && expiries_.begin()->first <= wallNow) {
+    forget(entries_.find(expiries_.begin()->second));
+  }
+}
+
+} // namespace sycamore::requests
--- /dev/null
+++ b/libs/requests/tests/QuarantineTest.cpp
@@ -0,0 +1,161 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <requests/Quarantine.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace sycamore;
+using namespace sycamore::requests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::TimePoint kStart{ 1000s };
+const WallTime kWall{ std::chrono::milliseconds(1'790'000'000'000) };
+
+WorkIdentity work(const std::string& id, const std::string& body)
+{
+  return { base::RequestId(id), base::ServiceId("label"), base::MethodId("run"), "store-1", body };
+}
+
+CrashReport crash(const std::string& server, std::vector<WorkIdentity> inFlight)
+{
+  return { base::ServerId(server), base::Incarnation(1), base::DomainId("a"), std::move(inFlight) };
+}
+
+std::uint64_t digestAfter(const std::vector<std::vector<QuarantineRecord>>& batches)
+{
+  Quarantine quarantine;
+  for (const auto& batch : batches) {
+    quarantine.merge(batch, kStart);
+  }
+  return quarantine.digest(kStart);
+}
+
+} // namespace
+
+// Guards against a poison request that crashes a third server, also when resent under a new id.
+TEST_CASE("work that crashed two servers is refused under any id")
+{
+  Quarantine quarantine;
+  quarantine.noteCrash(crash("label-1", { work("first", "x") }), kStart, kWall);
+  CHECK(quarantine.check(work("first", "x"), kStart) == Treatment::RunAlone);
+  CHECK(quarantine.check(work("second", "x"), kStart) == Treatment::RunAlone);
+  quarantine.noteCrash(crash("label-2", { work("second", "x") }), kStart, kWall);
+  CHECK(quarantine.check(work("third", "x"), kStart) == Treatment::Refuse);
+  CHECK(quarantine.check(work("third", "y"), kStart) == Treatment::Run);
+  CHECK(quarantine.condemned(kStart).size() == 1);
+}
+
+// Guards against counting one crash twice when it is noticed twice.
+TEST_CASE("one crash noticed twice is one crash")
+{
+  Quarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    quarantine.noteCrash(crash("label-1", { work("a", "x") }), kStart, kWall);
+  }
+  CHECK(quarantine.check(work("a", "x"), kStart) == Treatment::RunAlone);
+}
+
+// Guards against condemning a request that only shared its servers with the poison.
+TEST_CASE("shared crashes make suspects and condemn nothing by themselves")
+{
+  Quarantine quarantine;
+  const WorkIdentity poison = work("p", "poison");
+  const WorkIdentity innocent = work("i", "innocent");
+  quarantine.noteCrash(crash("label-1", { poison, innocent }), kStart, kWall);
+  quarantine.noteCrash(crash("label-2", { poison, innocent }), kStart, kWall);
+  CHECK(quarantine.condemned(kStart).empty());
+  CHECK(quarantine.check(innocent, kStart) == Treatment::RunAlone);
+  quarantine.noteCompleted(innocent, kStart, kWall);
+  CHECK(quarantine.check(innocent, kStart) == Treatment::Run);
+  quarantine.noteCrash(crash("label-3", { poison }), kStart, kWall);
+  CHECK(quarantine.check(poison, kStart) == Treatment::Refuse);
+}
+
+// Guards against the first bound of the page: one shared crash and one alone are enough.
+TEST_CASE("a suspect that crashes its next server alone is refused")
+{
+  Quarantine quarantine;
+  quarantine.noteCrash(crash("label-1", { work("p", "p"), work("i", "i") }), kStart, kWall);
+  quarantine.noteCrash(crash("label-2", { work("p", "p") }), kStart, kWall);
+  CHECK(quarantine.check(work("p", "p"), kStart) == Treatment::Refuse);
+}
+
+// Guards against a completed suspect that a slow peer's records make a suspect again.
+TEST_CASE("a clearance and a lift win over older records of peers")
+{
+  Quarantine here;
+  here.noteCrash(crash("label-1", { work("a", "x") }), kStart, kWall);
+  const auto old = here.records(kStart);
+  here.noteCompleted(work("a", "x"), kStart, kWall);
+  here.merge(old, kStart);
+  CHECK(here.check(work("a", "x"), kStart) == Treatment::Run);
+
+  Quarantine peer;
+  peer.noteCrash(crash("label-1", { work("b", "y") }), kStart, kWall + 2s);
+  peer.noteCrash(crash("label-2", { work("b", "y") }), kStart, kWall + 3s);
+  here.merge(peer.records(kStart), kStart);
+  REQUIRE(here.condemned(kStart).size() == 2);
+  // The clock of this entry VM is behind that of the peer.
+  for (const QuarantineRecord& record : here.condemned(kStart)) {
+    CHECK(here.lift(record.subject, kStart, kWall));
+  }
+  here.merge(peer.records(kStart), kStart);
+  CHECK(here.check(work("b", "y"), kStart) == Treatment::Run);
+  peer.merge(here.records(kStart), kStart);
+  CHECK(peer.check(work("b", "y"), kStart) == Treatment::Run);
+  here.noteCrash(crash("label-3", { work("b", "y") }), kStart, kWall);
+  here.noteCrash(crash("label-4", { work("b", "y") }), kStart, kWall);
+  CHECK(here.check(work("b", "y"), kStart) == Treatment::Refuse);
+}
+
+// Guards against a verdict that outlives its cause, and against unbounded growth.
+TEST_CASE("verdicts expire and subjects are bounded")
+{
+  Quarantine quarantine({ .maxSubjects = 10 });
+  quarantine.noteCrash(crash("label-1", { work("p", "p") }), kStart, kWall);
+  quarantine.noteCrash(crash("label-2", { work("p", "p") }), kStart, kWall);
+  for (int i = 0; i < 50; ++i) {
+    const std::string name = std::to_string(i);
+    quarantine.noteCrash(crash(name, { work(name, name), work("z", "z") }), kStart, kWall + 1s);
+  }
+  CHECK(quarantine.records(kStart).size() <= 10);
+  CHECK(quarantine.check(work("p", "p"), kStart) == Treatment::Refuse);
+  CHECK(quarantine.check(work("p", "p"), kStart + 11min) == Treatment::Run);
+  CHECK(quarantine.records(kStart + 11min).empty());
+}
+
+// Guards against entry VMs that disagree for ever because records arrived in another order.
+TEST_CASE("merging gives the same in every order and any number of times")
+{
+  CHECK(rc::check([](std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    std::vector<std::vector<QuarantineRecord>> batches;
+    for (int vm = 0; vm < 3; ++vm) {
+      Quarantine quarantine;
+      for (int i = 0; i < 6; ++i) {
+        const std::string body = std::to_string(random() % 2);
+        const WallTime wall = kWall + std::chrono::milliseconds(random() % 5);
+        const auto kind = random() % 4;
+        if (kind == 0) {
+          quarantine.noteCompleted(work("r", body), kStart, wall);
+        } else if (kind == 1) {
+          quarantine.lift("id:r", kStart, wall);
+        } else {
+          std::vector<WorkIdentity> inFlight{ work("r", body) };
+          if (random() % 2 == 0) {
+            inFlight.push_back(work("s", "other"));
+          }
+          quarantine.noteCrash(crash(std::to_string(random() % 3), inFlight), kStart, wall);
+        }
+        batches.push_back(quarantine.records(kStart));
+      }
+    }
+    const std::uint64_t expected = digestAfter(batches);
+    std::shuffle(batches.begin(), batches.end(), random);
+    batches.push_back(batches.front());
+    RC_ASSERT(digestAfter(batches) == expected);
+  }));
+}
