Measure retry amplification and duplicate executions

Ruled out: a budget bounded only over its window of ten seconds. It paid for its savings within the first second of an outage; besides, a full budget turned new savings away and then lost the old ones all at once. Change: requests_quality with an event loop and a manual clock; RetryBudget also bounds the retries in each tenth of its window, and drops the oldest savings when full.

--- /dev/null
+++ b/libs/admission/benchmarks/admission_quality.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- /dev/null
+++ b/libs/requests/benchmarks/quality/Scenario.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <base/Time.h>
+
+#include <array>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sycamore::quality {
+
+// Today's sizes of a team (docs/design.md, section 1.5). The page doesn't state service times; 4 ms
+// with a gamma distribution of shape 4 is an assumption.
+struct Scenario
+{
+  std::string name;
+  unsigned slots;
+  std::array<int, 3> services;
+  base::Duration hop;
+  base::Duration service = base::milliseconds(4);
+  int entryVms = 12;
+};
+
+inline std::vector<Scenario> scenarios()
+{
+  return { { "norte", 2, { 20, 8, 6 }, std::chrono::microseconds(1000) },
+           { "dixie-south", 6, { 20, 10, 6 }, std::chrono::microseconds(500) } };
+}
+
+inline base::Duration drawService(const Scenario& scenario, std::mt19937_64& random)
+{
+  constexpr double kShape = 4;
+  std::gamma_distribution<double> gamma(kShape,
+                                        static_cast<double>(scenario.service.count()) / kShape);
+  return base::Duration(static_cast<base::Duration::rep>(gamma(random)));
+}
+
+// Time to the next arrival of a Poisson process.
+inline base::Duration drawGap(double perSecond, std::mt19937_64& random)
+{
+  std::exponential_distribution<double> gap(perSecond / 1e9);
+  return base::Duration(static_cast<base::Duration::rep>(gap(random)) + 1);
+}
+
+} // namespace sycamore::quality
--- a/libs/requests/include/requests/RetryBudget.h
+++ b/libs/requests/include/requests/RetryBudget.h
@@ -22,8 +22,10 @@
 };
 
 // Limits retries to a share of recent successes. With every server failing, retries end once those
-// earned in the window are spent. Retries must draw on a budget at one layer only: the entry VM
-// that received the request. Not thread-safe: the owner holds a mutex.
+// earned in the window are spent; in a tenth of the window at most a tenth of them (but at least
+// `initial`) can be, so that the first moments of an outage bring no burst either. Retries must
+// draw on a budget at one layer only: the entry VM that received the request. Not thread-safe: the
+// owner holds a mutex.
 class RetryBudget
 {
 public:
@@ -35,19 +37,27 @@
   // Takes one retry out of the budget. False when there is none left.
   bool tryWithdraw(base::TimePoint now);
 
-  // Retries that could be withdrawn now.
+  // Retries saved up now.
   double available(base::TimePoint now);
 
 private:
   static constexpr std::size_t kBuckets = 10;
 
+  using Buckets = std::array<double, kBuckets>;
+
   void rotate(base::TimePoint now);
+  bool withinPace(base::TimePoint now) const;
+  double& current(Buckets& buckets);
+  void takeOldest(double amount);
 
   RetryBudgetSettings settings_;
   base::Duration bucketLength_;
   std::int64_t currentBucket_ = 0;
-  // Retries earned in each tenth of the window and not yet spent. The oldest are spent first.
-  std::array<double, kBuckets> earned_{};
+  // Retries earned in each tenth of the window, and those of them not yet spent, of which the
+  // oldest go first.
+  Buckets earned_{};
+  Buckets left_{};
+  Buckets spent_{};
   double initial_;
 };
 
