Add the operators' command line

Cause: operators need a program that makes the calls of the schema, with exit statuses for scripts. Ruled out: Abseil's own flag parser, which ends the process with status 1 for a wrong command line. Change: programs/sycamorectl with one table of commands, from which help and bash completion are made.

--- a/libs/configuration/include/configuration/ChangeRequests.h
+++ b/libs/configuration/include/configuration/ChangeRequests.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <configuration/ChangeCoordinator.h>
-#include <configuration/ConfigSnapshot.h>
+#include <configuration/DomainConfig.h>
 
 #include <set>
 #include <string>
@@ -30,11 +30,9 @@
                             const std::string& document,
                             const std::set<base::DomainId>& knownDomains,
                             ChangeBasis basis);
-// `snapshot` gives the fields that can't be changed.
 CheckedChange updateService(const base::ServiceId& service,
                             const std::string& document,
                             const std::set<base::DomainId>& knownDomains,
-                            const ConfigSnapshot& snapshot,
                             ChangeBasis basis);
 CheckedChange deleteService(const base::ServiceId& service, ChangeBasis basis);
 // Base 0 for a domain whose state was never changed.
--- a/libs/configuration/include/configuration/ConfigValidator.h
+++ b/libs/configuration/include/configuration/ConfigValidator.h
@@ -3,6 +3,7 @@
 #include <base/Ids.h>
 #include <configuration/ConfigFault.h>
 #include <configuration/DomainConfig.h>
+#include <configuration/ObjectName.h>
 #include <configuration/ServiceConfig.h>
 
 #include <optional>
@@ -34,15 +35,20 @@
   Validated<ServiceConfig> readService(const std::string& text) const;
   Validated<DomainConfig> readDomain(const std::string& text) const;
 
-  // Checks a change that an operator proposes: as above, the id must be the expected one, the
-  // failure domains must be among the known ones, and `current` (if any) must allow the change.
+  // Check a change that an operator proposes: as above, the id must be the expected one, and the
+  // failure domains must be among the known ones.
   Validated<ServiceConfig> checkServiceChange(const base::ServiceId& expected,
                                               const std::string& text,
-                                              const std::set<base::DomainId>& knownDomains,
-                                              const std::optional<ServiceConfig>& current) const;
+                                              const std::set<base::DomainId>& knownDomains) const;
   Validated<DomainConfig> checkDomainChange(const base::DomainId& expected,
                                             const std::string& text,
                                             const std::set<base::DomainId>& knownDomains) const;
+
+  // Checks that one usable document of an object may follow another. Nothing is checked if either
+  // isn't usable.
+  ConfigFaults checkTransition(const ObjectName& name,
+                               const std::string& current,
+                               const std::string& next) const;
 };
 
 } // namespace sycamore::configuration
--- a/libs/configuration/src/ChangeCoordinator.cpp
+++ b/libs/configuration/src/ChangeCoordinator.cpp
@@ -1,4 +1,5 @@
 #include <configuration/ChangeCoordinator.h>
+#include <configuration/ConfigValidator.h>
 #include <configuration/StoredValue.h>
 
 #include <algorithm>
@@ -30,7 +31,8 @@
 ChangeStep ChangeCoordinator::proceedFrom(const ConfigObject& current, base::TimePoint now)
 {
   const bool creates = change_.base == base::Version();
-  const bool deleted = StoredValue::parse(current.value).deleted();
+  const auto stored = StoredValue::parse(current.value);
+  const bool deleted = stored.deleted();
   if (current.version != change_.base && !(creates && deleted)) {
     return conflict(current);
   }
@@ -40,6 +42,13 @@
   if (expired(now)) {
     return refused("not stored before the deadline; nothing was changed");
   }
+  auto faults =
+    ConfigValidator().checkTransition(change_.name, stored.document(), change_.document);
+  if (!faults.empty()) {
+    ChangeOutcome outcome = refused("the object's current document forbids the change");
+    outcome.faults = std::move(faults);
+    return outcome;
+  }
   return write(current, now);
 }
 
--- a/libs/configuration/src/ChangeRequests.cpp
+++ b/libs/configuration/src/ChangeRequests.cpp
@@ -48,23 +48,19 @@
                             ChangeBasis basis)
 {
   basis.base = base::Version();
-  auto read = ConfigValidator().checkServiceChange(service, document, knownDomains, std::nullopt);
+  auto read = ConfigValidator().checkServiceChange(service, document, knownDomains);
   return checked(std::move(read), objectName(service), document, std::move(basis));
 }
 
 CheckedChange updateService(const base::ServiceId& service,
                             const std::string& document,
                             const std::set<base::DomainId>& knownDomains,
-                            const ConfigSnapshot& snapshot,
                             ChangeBasis basis)
 {
   if (basis.base == base::Version()) {
     return withoutBase();
   }
-  const auto found = snapshot.services.find(service);
-  const auto current =
-    found == snapshot.services.end() ? std::nullopt : std::optional(found->second);
-  auto read = ConfigValidator().checkServiceChange(service, document, knownDomains, current);
+  auto read = ConfigValidator().checkServiceChange(service, document, knownDomains);
   return checked(std::move(read), objectName(service), document, std::move(basis));
 }
 
--- a/libs/configuration/src/ConfigValidator.cpp
+++ b/libs/configuration/src/ConfigValidator.cpp
@@ -127,8 +127,7 @@
 Validated<ServiceConfig> ConfigValidator::checkServiceChange(
   const base::ServiceId& expected,
   const std::string& text,
-  const std::set<base::DomainId>& knownDomains,
-  const std::optional<ServiceConfig>& current) const
+  const std::set<base::DomainId>& knownDomains) const
 {
   Validated<ServiceConfig> read = readService(text);
   if (!read.config) {
@@ -138,9 +137,6 @@
     read.faults.push_back({ "/service", "must be \"" + expected.value() + "\"" });
   }
   checkKnownDomains(*read.config, knownDomains, read.faults);
-  if (current) {
-    checkFixedFields(*current, *read.config, read.faults);
-  }
   return concluded(std::move(*read.config), std::move(read.faults));
 }
 
@@ -162,4 +158,20 @@
   return concluded(std::move(*read.config), std::move(read.faults));
 }
 
+ConfigFaults ConfigValidator::checkTransition(const ObjectName& name,
+                                              const std::string& current,
+                                              const std::string& next) const
+{
+  ConfigFaults faults;
+  if (!serviceOf(name)) {
+    return faults;
+  }
+  const auto before = readService(current);
+  const auto after = readService(next);
+  if (before.config && after.config) {
+    checkFixedFields(*before.config, *after.config, faults);
+  }
+  return faults;
+}
+
 } // namespace sycamore::configuration
--- a/libs/operators/src/OperatorClient.cpp
+++ b/libs/operators/src/OperatorClient.cpp
@@ -98,7 +98,17 @@
 
   bool connect(base::milliseconds timeout)
   {
-    return channel_->WaitForConnected(std::chrono::system_clock::now() + timeout);
+    const auto deadline = std::chrono::system_clock::now() + timeout;
+    auto state = channel_->GetState(true);
+    // A refused connection ends the wait: the caller may have other servers.
+    while (state != GRPC_CHANNEL_READY && state != GRPC_CHANNEL_TRANSIENT_FAILURE &&
+           state != GRPC_CHANNEL_SHUTDOWN) {
+      if (!channel_->WaitForStateChange(state, deadline)) {
+        return false;
+      }
+      state = channel_->GetState(true);
+    }
+    return state == GRPC_CHANNEL_READY;
   }
 
   json call(const std::string& name, const json& request, base::milliseconds timeout)
--- /dev/null
+++ b/programs/sycamorectl/src/ExitStatus.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace sycamore::ctl {
+
+// Exit statuses of sycamorectl; scripts depend on them.
+enum class ExitStatus
+{
+  Ok = 0,
+  // The call was answered, and failed or was refused, or its outcome is in doubt.
+  Failed = 1,
+  // The command line is wrong; nothing was sent.
+  Usage = 2,
+  // Another change came first.
+  Conflict = 3,
+  // No server could be reached.
+  Unreachable = 4
+};
+
+} // namespace sycamore::ctl
--- /dev/null
+++ b/programs/sycamorectl/src/Flags.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <absl/flags/declare.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+ABSL_DECLARE_FLAG(std::vector<std::string>, server);
+ABSL_DECLARE_FLAG(std::string, token_file);
+ABSL_DECLARE_FLAG(std::string, ca_file);
+ABSL_DECLARE_FLAG(std::string, tls_name);
+ABSL_DECLARE_FLAG(std::string, output);
+ABSL_DECLARE_FLAG(absl::Duration, timeout);
+ABSL_DECLARE_FLAG(bool, help);
+ABSL_DECLARE_FLAG(bool, dry_run);
+ABSL_DECLARE_FLAG(std::int64_t, base);
+ABSL_DECLARE_FLAG(std::string, reason);
+ABSL_DECLARE_FLAG(std::string, from);
+ABSL_DECLARE_FLAG(std::string, to);
+ABSL_DECLARE_FLAG(std::string, shards);
+ABSL_DECLARE_FLAG(std::string, html);
+
+namespace sycamore::ctl {
+
+// Flags that every command takes.
+const std::vector<std::string>& commonFlags();
+
+// The flag's help text and, in brackets, its default.
+std::string describeFlag(const std::string& name);
+
+} // namespace sycamore::ctl
--- /dev/null
+++ b/programs/sycamorectl/src/QuarantineCommands.cpp
@@ -0,0 +1,72 @@
+#include "ChangeReport.h"
+#include "Command.h"
+#include "CtlError.h"
+#include "Flags.h"
+
+#include <absl/flags/flag.h>
+
+namespace sycamore::ctl {
+
+namespace {
+
+using nlohmann::json;
+
+json verdicts(Session& session)
+{
+  return session.read("ListQuarantine", json::object());
+}
+
+// The version of --base, or else the present one.
+std::uint64_t baseOf(const std::string& id, Session& session)
+{
+  const std::int64_t base = absl::GetFlag(FLAGS_base);
+  if (base >= 0) {
+    return static_cast<std::uint64_t>(base);
+  }
+  const json reply = verdicts(session);
+  for (const json& verdict : reply["verdicts"]) {
+    if (verdict["id"] == id) {
+      return verdict["version"].get<std::uint64_t>();
+    }
+  }
+  throw CtlError(ExitStatus::Failed,
+                 "nothing is quarantined as \"" + id +
+                   "\"; \"sycamorectl quarantine list\" shows all");
+}
+
+ExitStatus listQuarantine(const Invocation& invocation)
+{
+  const json reply = verdicts(invocation.session);
+  invocation.output.table(
+    reply,
+    reply["verdicts"],
+    { "id", "version", "service", "method", "crashes", "expires_in_ms", "reason" });
+  return ExitStatus::Ok;
+}
+
+ExitStatus liftQuarantine(const Invocation& invocation)
+{
+  const std::string& id = invocation.arguments[0];
+  const json reply = invocation.session.change("LiftQuarantine",
+                                               { { "id", id },
+                                                 { "base_version", baseOf(id, invocation.session) },
+                                                 { "dry_run", absl::GetFlag(FLAGS_dry_run) } });
+  return reportChange(invocation.output, reply, "quarantine list");
+}
+
+} // namespace
+
+std::vector<Command> quarantineCommands()
+{
+  return {
+    { "quarantine list", {}, {}, "list requests refused for crashing servers", "", listQuarantine },
+    { "quarantine lift",
+      { "ID" },
+      { "base", "dry_run" },
+      "let a quarantined request run again",
+      "Without --base the present version is read first.",
+      liftQuarantine },
+  };
+}
+
+} // namespace sycamore::ctl
--- /dev/null
+++ b/programs/sycamorectl/tests/CtlTest.cpp
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
