--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -23,7 +23,8 @@
 find_path(EASYLOGGING_DIR easylogging++.cc REQUIRED)
 add_library(deps_easylogging STATIC ${EASYLOGGING_DIR}/easylogging++.cc)
 target_include_directories(deps_easylogging SYSTEM PUBLIC ${EASYLOGGING_DIR})
-target_compile_definitions(deps_easylogging PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE)
+target_compile_definitions(deps_easylogging PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE
+                           ELPP_CUSTOM_COUT=std::cerr)
 target_compile_options(deps_easylogging PRIVATE -w)
 target_link_libraries(deps_easylogging PUBLIC Threads::Threads)
 
--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -60,7 +60,7 @@
   ~OwnershipController();
 
   // Time passes; called every 20 ms.
-  void tick();
+  void tick(bool platformReachable);
 
   // A new generation of a service's map, or a new configuration of the service.
   void onMap(std::shared_ptr<const placement::ShardMap> map,
@@ -111,11 +111,12 @@
   void onVoteReplies(const VoteBatchReply& reply);
   void onGrantAnswer(const base::ServerId& server,
                      const ownership::GrantRequest& sent,
+                     base::TimePoint sentAt,
                      const transport::BufferedResponse& response);
   void onReleaseAnswer(const base::ServerId& server,
                        const ownership::ReleaseRequest& sent,
                        const transport::BufferedResponse& response);
-  void noteServer(Managed& managed, base::Incarnation incarnation, const std::string& state);
+  void noteServer(Managed& managed, const admission::ServerReport& report);
   void noteCrash(Managed& managed, base::Incarnation incarnation);
   void updateGrantView(Managed& managed, const ownership::GrantRequest& granted);
   void askPermits();
--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -64,7 +64,7 @@
   const TimePoint now = context_.now();
   platform_.tick(members_.isRelay(now));
   config_.tick();
-  ownership_.tick();
+  ownership_.tick(platform_.isReachable());
   maps_.tick(platform_.isReachable());
   if (leaving_) {
     ownership_.resignAll();
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -90,10 +90,11 @@
   return found == managed_.end() ? nullptr : found->second.get();
 }
 
-void OwnershipController::tick()
+void OwnershipController::tick(bool platformReachable)
 {
   const TimePoint now = context_.now();
   for (const auto& [server, managed] : managed_) {
+    managed->tenancy.setPlatformReachable(platformReachable);
     perform(*managed, managed->tenancy.tick(now));
   }
   for (auto& request : voter_.learnRequests(now)) {
@@ -215,13 +216,14 @@
                    "/sycamore/grant",
                    body.dump(),
                    now + kGrantTimeout,
-                   [this, server = managed.server, sent = *request](const auto& response) {
-                     onGrantAnswer(server, sent, response);
+                   [this, server = managed.server, sent = *request, now](const auto& response) {
+                     onGrantAnswer(server, sent, now, response);
                    });
 }
 
 void OwnershipController::onGrantAnswer(const ServerId& server,
                                         const ownership::GrantRequest& sent,
+                                        TimePoint sentAt,
                                         const transport::BufferedResponse& response)
 {
   Managed* managed = find(server);
@@ -250,7 +252,7 @@
     ++context_.counters.grantsRefused;
   }
   perform(*managed, managed->tenancy.onGrantReply(reply, context_.now()));
-  noteServer(*managed, reply.incarnation, body.value("state", "warm"));
+  noteServer(*managed, { reply.incarnation, reportedState(body.value("state", "warm")), sentAt });
   if (reply.accepted) {
     updateGrantView(*managed, sent);
   }
@@ -274,18 +276,16 @@
   managed.dispatcher->setGrant(std::move(view));
 }
 
-void OwnershipController::noteServer(Managed& managed,
-                                     base::Incarnation incarnation,
-                                     const std::string& state)
+void OwnershipController::noteServer(Managed& managed, const admission::ServerReport& report)
 {
-  if (managed.incarnation && *managed.incarnation != incarnation) {
+  if (managed.incarnation && *managed.incarnation != report.incarnation) {
     noteCrash(managed, *managed.incarnation);
   }
-  managed.incarnation = incarnation;
+  managed.incarnation = report.incarnation;
   if (managed.dispatcher) {
-    managed.dispatcher->serverChanged({ incarnation, reportedState(state) });
+    managed.dispatcher->serverChanged(report);
   }
-  const bool drains = state == "draining";
+  const bool drains = report.state == admission::ReportedState::Draining;
   if (drains && draining_.insert(managed.server).second) {
     context_.log("server " + managed.server.value() + " is draining");
     events_.holdersChanged();
@@ -469,10 +469,11 @@
   VoteBatchReply reply;
   for (const auto& request : batch.requests) {
     const auto vote = voter_.vote(request, now);
-    if (vote.answer == ownership::VoteAnswer::Granted && !request.resign) {
-      if (Managed* managed = find(request.server)) {
-        managed->tenancy.onHolderSeen(request.holder, request.term, now);
-      }
+    Managed* managed = find(request.server);
+    if (managed != nullptr && request.resign) {
+      managed->tenancy.onHolderResigned(request.holder, now);
+    } else if (managed != nullptr && vote.answer == ownership::VoteAnswer::Granted) {
+      managed->tenancy.onHolderSeen(request.holder, request.term, now);
     }
     reply.replies.push_back(vote);
   }
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -62,6 +62,9 @@
                                           base::TimePoint now);
   // Whether requests may be dispatched to the server. Check it immediately before sending.
   bool mayDispatch(base::TimePoint now) const;
+  // Until when mayDispatch() stays true without further votes; the epoch if it is false. For
+  // traffic threads, which check it right before they send.
+  base::TimePoint mayDispatchUntil() const;
   // Permits for the holder of the successor; empty unless Evicted.
   std::optional<Permit> permitFor(const base::ServerId& successor, base::TimePoint now) const;
 
--- a/libs/ownership/src/TenancyGrants.h
+++ b/libs/ownership/src/TenancyGrants.h
@@ -44,6 +44,13 @@
   return shards;
 }
 
+template<OwnershipRules Rules>
+base::TimePoint BasicTenancy<Rules>::mayDispatchUntil() const
+{
+  return role_ == TenancyRole::Active ? quorum_.validUntil(TenancyKind::Active)
+                                      : base::TimePoint{};
+}
+
 template<OwnershipRules Rules>
 bool BasicTenancy<Rules>::mayDispatch(base::TimePoint now) const
 {
--- a/libs/router/include/router/IncomingRequest.h
+++ b/libs/router/include/router/IncomingRequest.h
@@ -17,7 +17,7 @@
   base::ServiceId service;
   base::MethodId method;
   std::string httpMethod;
-  // Path and query as the server gets them: "/<method>[/...][?...]" under the service.
+  // Path and query as sent: "/v1/<service>/<method>[/...][?...]".
   std::string target;
   std::optional<base::Key> key;
   base::RequestId id;
--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -145,7 +145,7 @@
       request_.service, server, send, result.verdict.outcome == Outcome::Ran);
     ++attempts_;
     lastServer_ = server;
-    outcome_ = combineOutcomes(outcome_, result.verdict.outcome);
+    outcome_ = requests::combineOutcomes(outcome_, result.verdict.outcome);
     if (result.again || answer_.isCommitted()) {
       return result;
     }
--- a/libs/router/src/IncomingRequest.cpp
+++ b/libs/router/src/IncomingRequest.cpp
@@ -109,8 +109,7 @@
   }
   parsed.service = base::ServiceId(service);
   parsed.method = base::MethodId(method);
-  const std::string& target = request.target();
-  parsed.target = target.substr(kPrefix.size() + service.size());
+  parsed.target = request.target();
 }
 
 void RequestParser::parseHeaders(transport::ServerRequest& request,
--- a/libs/transport/include/transport/HttpServer.h
+++ b/libs/transport/include/transport/HttpServer.h
@@ -90,9 +90,12 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  // Binds and starts to serve on its own threads. Port 0 takes a free port. Returns the address in
-  // use. Throws TransportError when the address can't be bound.
-  HostPort start(const HostPort& address);
+  // Binds an address. Port 0 takes a free one. Returns the address in use. Throws TransportError
+  // when the address can't be bound.
+  HostPort bind(const HostPort& address);
+
+  // Starts to serve the bound address on the server's own threads.
+  void start();
 
   // Asks callers to leave: each answer from now on closes its connection.
   void beginDrain();
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -351,7 +351,7 @@
     });
   }
 
-  HostPort startServing(const HostPort& address)
+  HostPort bindAddress(const HostPort& address)
   {
     HostPort bound = address;
     if (address.port == 0) {
@@ -365,6 +365,11 @@
     // cpp-httplib listens with a backlog of 5, which drops connections in a burst.
     constexpr int kBacklog = 1024;
     ::listen(svr_sock_, kBacklog);
+    return bound;
+  }
+
+  void startServing()
+  {
     accepting_ = true;
     thread_ = std::thread([this] {
       listen_after_bind();
@@ -372,7 +377,6 @@
       accepting_ = false;
       stopped_.notify_all();
     });
-    return bound;
   }
 
   bool stopServing(TimePoint deadline)
@@ -605,9 +609,14 @@
 
 HttpServer::~HttpServer() = default;
 
-HostPort HttpServer::start(const HostPort& address)
+HostPort HttpServer::bind(const HostPort& address)
+{
+  return impl_->bindAddress(address);
+}
+
+void HttpServer::start()
 {
-  return impl_->startServing(address);
+  impl_->startServing();
 }
 
 void HttpServer::beginDrain()
--- a/libs/transport/tests/HttpServerTest.cpp
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -70,8 +70,9 @@
 {
   explicit Fixture(ServerHandler handler, ServerLimits limits = {})
     : server(limits, std::move(handler))
-    , bound(server.start({ "127.0.0.1", 0 }))
+    , bound(server.bind({ "127.0.0.1", 0 }))
   {
+    server.start();
   }
 
   BufferedResponse post(const std::string& path, std::string body)
