Add the platform client and the call budget

Cause: ownership and configuration write through the platform's object API, whose answers can be lost after a write took effect and whose rates are shared by the fleet. Ruled out: taking an unchanged object after a lost answer for a failed write (it may still arrive), so the same conditional write is sent again and only one of both can take effect; a budget without reserves, in which status calls use up what a failover needs. Change: libs/platform with ObjectStore, ObjectClient, HttplibTransport, CallBudget, TokenBucket and an in-memory store for tests of others.

--- /dev/null
+++ b/libs/platform/include/platform/WriteResult.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <platform/StoredObject.h>
+
+#include <variant>
+
+namespace sycamore::platform {
+
+// The write took effect and made this version.
+struct Confirmed
+{
+  base::Version version;
+};
+
+// The object has another version than expected.
+struct Conflict
+{
+  StoredObject current;
+  // The answer to the write was lost, and another write followed: this one may have been in effect
+  // before current replaced it. It isn't in effect now and won't be.
+  bool maybeOverwritten = false;
+};
+
+// The write may or may not have taken effect, and may still do so. ObjectClient::settle() finds
+// out once the platform answers again.
+struct InDoubt
+{};
+
+using WriteResult = std::variant<Confirmed, Conflict, InDoubt>;
+
+} // namespace sycamore::platform
--- /dev/null
+++ b/libs/platform/src/HttplibTransport.cpp
@@ -0,0 +1,129 @@
+#include <platform/HttplibTransport.h>
+
+#include <algorithm>
+#include <httplib.h>
+#include <mutex>
+#include <vector>
+
+namespace sycamore::platform {
+
+namespace {
+
+// Kept connections; calls beyond them open their own.
+constexpr std::size_t kMaxIdle = 16;
+
+// A list of many objects of a megabyte each; more is a broken answer.
+constexpr std::size_t kMaxAnswerBytes = 256UL << 20;
+
+// A connection to a host that is gone gives no answer at all; don't spend a long deadline on it.
+constexpr base::Duration kMaxConnectTime = std::chrono::seconds(1);
+
+base::TimePoint now()
+{
+  return base::SteadyClock().now();
+}
+
+bool failedBeforeSending(httplib::Error error)
+{
+  return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+         error == httplib::Error::BindIPAddress;
+}
+
+} // namespace
+
+// Idle connections, most recently used last.
+class HttplibTransport::Pool
+{
+public:
+  explicit Pool(const std::string& address)
+    : host_(address.substr(0, address.rfind(':')))
+    , port_(std::stoi(address.substr(address.rfind(':') + 1)))
+  {
+    if (host_.size() > 2 && host_.front() == '[') {
+      host_ = host_.substr(1, host_.size() - 2);
+    }
+  }
+
+  std::unique_ptr<httplib::Client> take()
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      if (!idle_.empty()) {
+        auto client = std::move(idle_.back());
+        idle_.pop_back();
+        return client;
+      }
+    }
+    auto client = std::make_unique<httplib::Client>(host_, port_);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    return client;
+  }
+
+  void giveBack(std::unique_ptr<httplib::Client> client)
+  {
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < kMaxIdle) {
+      idle_.push_back(std::move(client));
+    }
+  }
+
+private:
+  std::string host_;
+  int port_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<httplib::Client>> idle_;
+};
+
+HttplibTransport::HttplibTransport(std::string address, Blocked blocked)
+  : address_(std::move(address))
+  , blocked_(std::move(blocked))
+  , pool_(std::make_unique<Pool>(address_))
+{
+}
+
+HttplibTransport::~HttplibTransport() = default;
+
+bool HttplibTransport::isBlocked() const
+{
+  return blocked_ && blocked_(address_);
+}
+
+HttpReply HttplibTransport::exchange(const HttpCall& call, base::TimePoint deadline)
+{
+  const base::Duration left = deadline - now();
+  if (left <= base::Duration::zero() || isBlocked()) {
+    throw TransportError("the platform cannot be called now", false);
+  }
+  auto client = pool_->take();
+  client->set_connection_timeout(std::min(left, kMaxConnectTime));
+  client->set_read_timeout(left);
+  client->set_write_timeout(left);
+
+  HttpReply reply;
+  httplib::Request request;
+  request.method = call.method;
+  request.path = call.target;
+  request.body = call.body;
+  if (!call.body.empty()) {
+    request.set_header("Content-Type", "application/json");
+  }
+  // The read timeout of cpp-httplib bounds each read only, so the deadline is checked per piece.
+  request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+    reply.body.append(data, size);
+    return reply.body.size() <= kMaxAnswerBytes && now() < deadline;
+  };
+  const httplib::Result result = client->send(request);
+  if (!result) {
+    throw TransportError("no answer from the platform: " + httplib::to_string(result.error()),
+                         !failedBeforeSending(result.error()));
+  }
+  if (isBlocked()) {
+    throw TransportError("the answer of the platform was cut off", true);
+  }
+  reply.status = result->status;
+  pool_->giveBack(std::move(client));
+  return reply;
+}
+
+} // namespace sycamore::platform
--- /dev/null
+++ b/libs/platform/src/TokenBucket.cpp
@@ -0,0 +1,77 @@
+#include <platform/TokenBucket.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamore::platform {
+
+namespace {
+
+// A reserve needs room above the one token that a call takes, even at rates far below one a
+// second.
+constexpr double kMinCapacity = 2;
+
+double seconds(base::Duration duration)
+{
+  return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+TokenBucket::TokenBucket(double perSecond, double capacity, base::TimePoint now)
+  : perSecond_(perSecond)
+  , capacity_(std::max(kMinCapacity, capacity))
+  , level_(capacity_)
+  , filledAt_(now)
+{
+}
+
+void TokenBucket::setRate(double perSecond, double capacity, base::TimePoint now)
+{
+  refill(now);
+  perSecond_ = perSecond;
+  capacity_ = std::max(kMinCapacity, capacity);
+  level_ = std::min(level_, capacity_);
+}
+
+bool TokenBucket::take(double reserve, base::TimePoint now)
+{
+  refill(now);
+  // Rounding must not refuse a call at the very time that nextTake() named.
+  constexpr double kRounding = 1e-6;
+  if (level_ + kRounding < 1 + reserve) {
+    return false;
+  }
+  level_ -= 1;
+  return true;
+}
+
+void TokenBucket::takeAnyway(double tokens, base::TimePoint now)
+{
+  refill(now);
+  level_ = std::max(level_ - tokens, -capacity_);
+}
+
+base::TimePoint TokenBucket::nextTake(double reserve, base::TimePoint now) const
+{
+  const double missing = 1 + reserve - levelAt(now);
+  if (missing <= 0) {
+    return now;
+  }
+  return now +
+         base::Duration(static_cast<base::Duration::rep>(std::ceil(missing / perSecond_ * 1e9)));
+}
+
+double TokenBucket::levelAt(base::TimePoint now) const
+{
+  const double passed = std::max(0.0, seconds(now - filledAt_));
+  return std::min(capacity_, level_ + passed * perSecond_);
+}
+
+void TokenBucket::refill(base::TimePoint now)
+{
+  level_ = levelAt(now);
+  filledAt_ = std::max(filledAt_, now);
+}
+
+} // namespace sycamore::platform
--- /dev/null
+++ b/libs/platform/tests/CallBudgetTest.cpp
@@ -0,0 +1,172 @@
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <platform/CallBudget.h>
+#include <vector>
+
+using namespace sycamore;
+using namespace std::chrono_literals;
+using platform::CallBudget;
+using Kind = CallBudget::Kind;
+using Class = CallBudget::Class;
+
+namespace {
+
+const base::TimePoint kStart(1000s);
+
+int admitAll(CallBudget& budget, Kind kind, Class callClass, base::TimePoint now)
+{
+  int admitted = 0;
+  while (admitted < 10000 && budget.admit(kind, callClass, now)) {
+    ++admitted;
+  }
+  return admitted;
+}
+
+void failUntilOutage(CallBudget& budget, base::TimePoint now, std::mt19937_64& random)
+{
+  while (!budget.inOutage()) {
+    budget.onFailure(now, random);
+  }
+}
+
+} // namespace
+
+// Guards against a fleet that together exceeds the platform's rates.
+TEST_CASE("the fleet stays below the rates over any second")
+{
+  constexpr int kVms = 12;
+  CallBudget budget({}, kStart);
+  budget.setFleetSize(kVms, kStart);
+  admitAll(budget, Kind::Write, Class::Ownership, kStart);
+  int admitted = 0;
+  for (auto now = kStart; now <= kStart + 10s; now += 10ms) {
+    admitted += admitAll(budget, Kind::Write, Class::Ownership, now);
+  }
+  CHECK(admitted * kVms <= 400 * 10);
+  CHECK(admitted * kVms >= 400 * 10 * 0.8 * 0.95);
+}
+
+// Guards against status reports or configuration that use up what a failover needs.
+TEST_CASE("less urgent calls leave room for more urgent ones")
+{
+  for (const std::size_t vms : { 1U, 12U, 5000U }) {
+    CallBudget budget({}, kStart);
+    budget.setFleetSize(vms, kStart);
+    admitAll(budget, Kind::Write, Class::Status, kStart);
+    CHECK(budget.admit(Kind::Write, Class::Configuration, kStart) == (vms < 5000));
+    admitAll(budget, Kind::Write, Class::Configuration, kStart);
+    CHECK(budget.admit(Kind::Write, Class::Ownership, kStart));
+  }
+}
+
+// Guards against waiting callers that poll because the named time is wrong.
+TEST_CASE("a call is admitted at the time that was named")
+{
+  std::mt19937_64 random(1);
+  CallBudget budget({}, kStart);
+  budget.setFleetSize(12, kStart);
+  for (const Class callClass : { Class::Status, Class::Configuration, Class::Ownership }) {
+    admitAll(budget, Kind::Read, callClass, kStart);
+    const auto next = budget.nextAdmission(Kind::Read, callClass, kStart);
+    CHECK(next > kStart);
+    CallBudget copy = budget;
+    CHECK_FALSE(copy.admit(Kind::Read, callClass, next - 1ms));
+    CHECK(copy.admit(Kind::Read, callClass, next));
+  }
+  failUntilOutage(budget, kStart + 10s, random);
+  const auto probe = budget.nextAdmission(Kind::Read, Class::Status, kStart + 10s);
+  CHECK(probe > kStart + 10s);
+  CHECK(budget.admit(Kind::Read, Class::Status, probe));
+}
+
+// Guards against VMs that keep calling a platform that is down.
+TEST_CASE("in an outage few probes are sent")
+{
+  std::mt19937_64 random(7);
+  CallBudget budget({}, kStart);
+  failUntilOutage(budget, kStart, random);
+  int probes = 0;
+  for (auto now = kStart; now < kStart + 60s; now += 10ms) {
+    if (budget.admit(Kind::Read, Class::Ownership, now)) {
+      ++probes;
+      CHECK_FALSE(budget.admit(Kind::Write, Class::Ownership, now));
+      budget.onFailure(now, random);
+    }
+  }
+  CHECK(probes >= 30);
+  CHECK(probes <= 70);
+}
+
+// Guards against a budget that waits forever for a probe whose answer never comes.
+TEST_CASE("a probe without a result is followed by another")
+{
+  std::mt19937_64 random(7);
+  CallBudget budget({}, kStart);
+  failUntilOutage(budget, kStart, random);
+  CHECK(budget.admit(Kind::Read, Class::Ownership, kStart + 5s));
+  CHECK(budget.admit(Kind::Read, Class::Ownership, kStart + 10s));
+}
+
+// Guards against a single lost answer holding back a failover.
+TEST_CASE("one failure is no outage")
+{
+  std::mt19937_64 random(7);
+  CallBudget budget({}, kStart);
+  budget.onFailure(kStart, random);
+  CHECK(budget.admit(Kind::Write, Class::Ownership, kStart));
+}
+
+// Guards against all VMs returning at once when the platform comes back.
+TEST_CASE("after an outage the fleet returns over a window, urgent calls first")
+{
+  constexpr int kVms = 200;
+  std::mt19937_64 random(42);
+  std::vector<base::Duration> ownership;
+  std::vector<base::Duration> status;
+  for (int vm = 0; vm < kVms; ++vm) {
+    CallBudget budget({}, kStart);
+    failUntilOutage(budget, kStart, random);
+    budget.onSuccess(kStart, random);
+    ownership.push_back(budget.nextAdmission(Kind::Write, Class::Ownership, kStart) - kStart);
+    status.push_back(budget.nextAdmission(Kind::Write, Class::Status, kStart) - kStart);
+  }
+  CHECK(*std::max_element(ownership.begin(), ownership.end()) <= 500ms);
+  CHECK(*std::min_element(status.begin(), status.end()) >= 1200ms);
+  CHECK(*std::max_element(status.begin(), status.end()) <= 2s);
+  const auto early = [](const auto& returns, base::Duration end) {
+    return std::count_if(returns.begin(), returns.end(), [&](auto time) { return time < end; });
+  };
+  CHECK(early(ownership, 50ms) < kVms / 5);
+  CHECK(early(status, 1280ms) < kVms / 5);
+}
+
+// Guards against VMs that go on at full share while the platform refuses calls.
+TEST_CASE("refused calls cut the share, which recovers")
+{
+  CallBudget budget({}, kStart);
+  admitAll(budget, Kind::Read, Class::Ownership, kStart);
+  const auto admittedIn = [&](base::TimePoint begin) {
+    admitAll(budget, Kind::Read, Class::Ownership, begin);
+    return admitAll(budget, Kind::Read, Class::Ownership, begin + 100ms);
+  };
+  const int full = admittedIn(kStart + 1s);
+  budget.onRateLimited(kStart + 2s);
+  budget.onRateLimited(kStart + 2s);
+  CHECK(admittedIn(kStart + 2s) < full / 3);
+  for (int i = 0; i < 50; ++i) {
+    budget.onRateLimited(kStart + 3s);
+  }
+  CHECK(budget.nextAdmission(Kind::Read, Class::Ownership, kStart + 3s) < kStart + 4s);
+  CHECK(admittedIn(kStart + 14s) >= full - 1);
+}
+
+// Guards against calls made without asking, which would exceed the share.
+TEST_CASE("calls made without asking are paid back")
+{
+  CallBudget budget({}, kStart);
+  budget.setFleetSize(40, kStart);
+  admitAll(budget, Kind::Write, Class::Ownership, kStart);
+  budget.charge(Kind::Write, 4, kStart);
+  CHECK_FALSE(budget.admit(Kind::Write, Class::Ownership, kStart + 500ms));
+  CHECK(budget.admit(Kind::Write, Class::Ownership, kStart + 700ms));
+}
--- /dev/null
+++ b/libs/platform/tests/HttplibTransportTest.cpp
@@ -0,0 +1,142 @@
+#include <PlatformService.h>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <platform/HttplibTransport.h>
+#include <platform/ObjectClient.h>
+#include <test_http/StandInServer.h>
+#include <test_process/WaitUntil.h>
+#include <thread>
+
+using namespace sycamore;
+using namespace sycamore::platform;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+base::TimePoint in(base::Duration time)
+{
+  return base::SteadyClock().now() + time;
+}
+
+// The platform stub within the test, with a client.
+struct Fixture
+{
+  Fixture()
+  {
+    service.attach(server);
+    address = "127.0.0.1:" + std::to_string(server.bind(0));
+    serving = std::thread([this] { server.serve(); });
+    REQUIRE(test_process::waitUntil([this] { return server.is_running(); }, 5s));
+  }
+  ~Fixture()
+  {
+    server.stopServing();
+    serving.join();
+  }
+
+  void setFaults(const json& faults) { REQUIRE(call({ "POST", "/faults", faults.dump() }) == 200); }
+
+  int call(const HttpCall& request)
+  {
+    return HttplibTransport(address).exchange(request, in(5s)).status;
+  }
+
+  platform_stub::PlatformService service{ platform_stub::PlatformService::Limits{} };
+  test_http::StandInServer server{ 50 };
+  std::thread serving;
+  std::string address;
+};
+
+json value(const std::string& writer)
+{
+  return { { "writer", writer } };
+}
+
+} // namespace
+
+// Guards against an API client and a platform that understand the protocol differently.
+TEST_CASE_FIXTURE(Fixture, "objects can be written, read, watched and removed over HTTP")
+{
+  HttplibTransport transport(address);
+  ObjectClient client(transport);
+  const auto first = client.put("config", "a", base::Version(0), value("1"), in(5s));
+  const base::Version version = std::get<Confirmed>(first).version;
+  CHECK(client.get("config", "a", in(5s))->version == version);
+  const ObjectList list = client.list("config", in(5s));
+  CHECK(list.objects.size() == 1);
+  std::thread writer([&] { client.put("config", "b", base::Version(0), value("2"), in(5s)); });
+  const ObjectChanges changes = client.watch("config", list.revision, in(5s));
+  writer.join();
+  REQUIRE(changes.objects.size() == 1);
+  CHECK(changes.objects[0].name == "b");
+  CHECK(std::holds_alternative<Conflict>(
+    client.put("config", "a", base::Version(0), value("3"), in(5s))));
+  CHECK(std::holds_alternative<Confirmed>(client.remove("config", "a", version, in(5s))));
+  CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
+}
+
+// Guards against an assignment whose acknowledgement is lost between us and the platform.
+TEST_CASE_FIXTURE(Fixture, "a write with a lost answer is confirmed over HTTP")
+{
+  HttplibTransport transport(address);
+  ObjectClient client(transport);
+  setFaults({ { "lose_answers", 1 } });
+  CHECK(std::holds_alternative<Confirmed>(
+    client.put("shardmap", "layout", base::Version(0), value("1"), in(5s))));
+  CHECK(client.list("shardmap", in(5s)).objects.size() == 1);
+}
+
+// Guards against a call that outlives its deadline at a platform that is slow or gone.
+TEST_CASE_FIXTURE(Fixture, "calls end at their deadline")
+{
+  HttplibTransport transport(address);
+  ObjectClient client(transport);
+  setFaults({ { "slow_ms", 1000 } });
+  const base::TimePoint begin = in(0s);
+  CHECK_THROWS_AS(client.get("config", "a", in(100ms)), Unavailable);
+  CHECK(in(0s) - begin < 900ms);
+  setFaults({ { "slow_ms", 0 }, { "down", true } });
+  CHECK_THROWS_AS(client.get("config", "a", in(5s)), Unavailable);
+  setFaults({ { "down", false } });
+  CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
+}
+
+// Guards against a partition that stops calls but lets answers through.
+TEST_CASE_FIXTURE(Fixture, "a blocked address is not called and its answers are cut off")
+{
+  std::atomic<bool> blocked = false;
+  HttplibTransport transport(address, [&](const std::string&) { return blocked.load(); });
+  ObjectClient client(transport);
+  CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
+  std::thread cut([&] {
+    HttplibTransport stats(address);
+    const auto watching = [&] {
+      return stats.exchange({ "GET", "/stats", "" }, in(5s)).body.find("watch") !=
+             std::string::npos;
+    };
+    CHECK(test_process::waitUntil(watching, 5s));
+    blocked = true;
+  });
+  CHECK_THROWS_AS(client.watch("config", Revision(0), in(600ms)), Unavailable);
+  cut.join();
+  const base::TimePoint begin = in(0s);
+  CHECK_THROWS_AS(client.put("config", "a", base::Version(0), value("1"), in(5s)), Unavailable);
+  CHECK(in(0s) - begin < 1s);
+  blocked = false;
+  CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
+}
+
+// Guards against a value of the permitted size that the transport refuses.
+TEST_CASE_FIXTURE(Fixture, "values up to a megabyte pass")
+{
+  HttplibTransport transport(address);
+  ObjectClient client(transport);
+  json large = value("1");
+  large["text"] = std::string(999'900, 'x');
+  CHECK(std::holds_alternative<Confirmed>(
+    client.put("shardmap", "big", base::Version(0), large, in(5s))));
+  CHECK(client.get("shardmap", "big", in(5s))->value == large);
+  large["text"] = std::string(1'000'000, 'x');
+  CHECK_THROWS_AS(client.put("shardmap", "big", base::Version(1), large, in(5s)), CallRefused);
+}
