--- a/libs/operators/tests/TokenTest.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <doctest/doctest.h>
