--- a/libs/ownership/include/ownership/LearnReply.h
+++ b/libs/ownership/include/ownership/LearnReply.h
@@ -20,7 +20,7 @@
   base::Term term;
   HolderId holder;
   TenancyKind kind = TenancyKind::Active;
-  base::Generation generation;
+  base::Generation rowGeneration;
   base::Generation floor;
 };
 
--- a/libs/ownership/include/ownership/PermitTable.h
+++ b/libs/ownership/include/ownership/PermitTable.h
@@ -9,8 +9,8 @@
 
 namespace sycamore::ownership {
 
-// What the receiver of permits knows of the shard map: its generation, and which shards it names a
-// server as owner of.
+// What the receiver of permits knows of the shard map: its generation, and which shards a server has
+// owned with the same successor since a generation or longer.
 template<typename T>
 concept OwnerView = requires(const T& view, const base::ServerId& server)
 {
@@ -18,7 +18,7 @@
     view.generation()
     } -> std::convertible_to<base::Generation>;
   {
-    view.ownedBy(server)
+    view.ownedSince(server, base::Generation())
     } -> std::convertible_to<ShardSet>;
 };
 
@@ -32,8 +32,8 @@
   void apply(const Permit& permit, base::TimePoint askedAt);
 
   // The shards that may be granted to `to` in addition to its own, checked against the map in use:
-  // if that is as new as the permit, a shard counts only while the evicted server still owns it.
-  // A permitted shard may have been moved on from its successor already.
+  // if that is as new as the permit, a shard counts only if the evicted server has owned it since.
+  // Its successor may have got it by a write and passed it on, even back to the evicted server.
   template<OwnerView View>
   ShardSet grantable(const base::ServerId& to, const View& map, base::TimePoint now) const;
 
@@ -71,7 +71,7 @@
     }
     ShardSet shards = entry.shards;
     if (Rules::kCheckPermitsAgainstMap && map.generation() >= entry.generation) {
-      shards.intersect(map.ownedBy(from));
+      shards.intersect(map.ownedSince(from, entry.generation));
     }
     result.insert(shards);
   }
--- a/libs/ownership/include/ownership/ServerRow.h
+++ b/libs/ownership/include/ownership/ServerRow.h
@@ -13,6 +13,8 @@
 {
   base::ServerId server;
   base::Generation generation;
+  // The last generation that changed this server's shards, their successors or its voters.
+  base::Generation changed;
   ShardSet owned;
   // The owned shards by their recorded successor.
   std::map<base::ServerId, ShardSet> successors;
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -55,15 +55,17 @@
   // Gives the tenancy up, for a leaving entry VM. Other voters may take it over at once.
   TenancyActions resign(base::TimePoint now);
 
-  // The grant to send now, with the shards permitted in addition (PermitTable); none if the
-  // tenancy of this term is not held any more. Call it immediately before sending.
+  // The request to send now: a grant with the shards permitted in addition (PermitTable); none if the
+  // tenancy of this term is not held any more. While the server is evicted, a probe that grants
+  // nothing. Call it immediately before sending.
   std::optional<GrantRequest> grantToSend(base::Term term,
                                           const ShardSet& permitted,
                                           base::TimePoint now);
   // Whether requests may be dispatched to the server. Check it immediately before sending.
   bool mayDispatch(base::TimePoint now) const;
-  // Permits for the holder of the successor; empty unless Evicted.
-  std::optional<Permit> permitFor(const base::ServerId& successor, base::TimePoint now) const;
+  // Permits for the holder of the successor; empty unless Evicted. Call it only when that holder
+  // asks: whether the successors ask decides about reinstating the server.
+  std::optional<Permit> permitFor(const base::ServerId& successor, base::TimePoint now);
 
   TenancyRole role() const { return role_; }
   base::Term term() const { return term_; }
@@ -90,7 +92,8 @@
   void watch(base::TimePoint now);
   void evictIfSilent(base::TimePoint now);
   void becomeEvicted(TenancyActions& actions, base::TimePoint now);
-  void reinstateIfMoved(TenancyActions& actions, base::TimePoint now);
+  bool successorsAsk(base::TimePoint now) const;
+  void reinstateIfDue(TenancyActions& actions, base::TimePoint now);
   void tickAsHolder(TenancyActions& actions, base::TimePoint now);
   void scheduleTick(base::TimePoint now);
   void renew(TenancyActions& actions, base::TimePoint now);
@@ -98,7 +101,7 @@
   void continueChange(TenancyActions& actions, base::TimePoint now);
   void raiseFloor(TenancyActions& actions, base::TimePoint now);
   void writeWhenFloorHeld(TenancyActions& actions, base::TimePoint now);
-  void resolveChange(TenancyActions& actions);
+  void resolveChange(TenancyActions& actions, base::TimePoint now);
   void startFailover(TenancyActions& actions, base::TimePoint now);
   SendRelease releaseAction() const;
   void useVoters();
@@ -119,7 +122,7 @@
   base::Term highestTerm_;
   // Of the highest term heard of.
   TenancyKind knownKind_ = TenancyKind::Active;
-  base::Generation knownGeneration_;
+  base::Generation knownRowGeneration_;
   base::Generation knownFloor_;
   TenancyKind proposedKind_ = TenancyKind::Active;
   VoteQuorum<Rules> quorum_;
@@ -143,7 +146,9 @@
   base::TimePoint lastAnswerAt_;
   base::TimePoint proposingSince_;
   base::TimePoint evictBy_;
-  base::TimePoint reinstateAt_;
+  base::TimePoint evictedAt_;
+  base::TimePoint failoverAt_;
+  std::map<base::ServerId, base::TimePoint> askedForPermit_;
   base::TimePoint bumpAgainAt_;
   base::TimePoint proposeAt_;
   base::TimePoint renewAt_;
--- a/libs/ownership/include/ownership/VoteReply.h
+++ b/libs/ownership/include/ownership/VoteReply.h
@@ -22,7 +22,7 @@
   VoteAnswer answer = VoteAnswer::Granted;
   base::Term highestTerm;
   TenancyKind currentKind = TenancyKind::Active;
-  base::Generation currentGeneration;
+  base::Generation currentRowGeneration;
   base::Generation floor;
   // Granted: remaining lifetime of the vote for an earlier term, negative if it has lapsed.
   // MustWait: when to ask again, counted from the reply.
--- a/libs/ownership/include/ownership/VoteRequest.h
+++ b/libs/ownership/include/ownership/VoteRequest.h
@@ -17,8 +17,10 @@
   HolderId holder;
   base::Term term;
   TenancyKind kind = TenancyKind::Active;
-  // The holder's map; for Evicted the generation whose successors get permits.
+  // The holder's map; for Evicted the one whose successors get permits.
   base::Generation generation;
+  // The last generation that changed the server's row in that map.
+  base::Generation rowGeneration;
   // The voter raises its floor to this, if it accepts the request. 0 leaves it.
   base::Generation floor;
   // The other voters of the receiver's set: a restarted receiver relearns from them.
--- a/libs/ownership/include/ownership/VoterRecord.h
+++ b/libs/ownership/include/ownership/VoterRecord.h
@@ -17,7 +17,7 @@
   base::Term term;
   HolderId holder;
   TenancyKind kind = TenancyKind::Active;
-  base::Generation generation;
+  base::Generation rowGeneration;
   base::Generation floor;
   // No vote of this VM is valid after this, on any clock.
   base::TimePoint until;
--- a/libs/ownership/src/TenancyChanges.h
+++ b/libs/ownership/src/TenancyChanges.h
@@ -104,11 +104,13 @@
 }
 
 template<OwnershipRules Rules>
-void BasicTenancy<Rules>::resolveChange(TenancyActions& actions)
+void BasicTenancy<Rules>::resolveChange(TenancyActions& actions, base::TimePoint now)
 {
   if (writing() && row_.generation > change_->base) {
     actions.push_back(ChangeResolved{ change_->kind });
     change_.reset();
+    // Several holders may be writing the same map.
+    failoverAt_ = now + timings_.renewalInterval();
   }
 }
 
@@ -116,7 +118,7 @@
 void BasicTenancy<Rules>::startFailover(TenancyActions& actions, base::TimePoint now)
 {
   const bool due = role_ == TenancyRole::Evicted && !change_ && !row_.owned.empty();
-  if (!due || !platformReachable_) {
+  if (!due || !platformReachable_ || now < failoverAt_) {
     return;
   }
   change_ = MapChange{
--- a/libs/ownership/src/TenancyEvents.h
+++ b/libs/ownership/src/TenancyEvents.h
@@ -48,7 +48,7 @@
 {
   checkVotes(actions, now);
   evictIfSilent(now);
-  reinstateIfMoved(actions, now);
+  reinstateIfDue(actions, now);
   if (role_ == TenancyRole::Watching) {
     return;
   }
@@ -120,7 +120,7 @@
   const bool wasVoter = isVoter();
   const ShardSet before = row_.owned;
   row_ = row;
-  resolveChange(actions);
+  resolveChange(actions, now);
   useVoters();
   if (role_ == TenancyRole::Watching) {
     if (!wasVoter && isVoter()) {
--- a/libs/ownership/src/TenancyGrants.h
+++ b/libs/ownership/src/TenancyGrants.h
@@ -11,7 +11,8 @@
                                                              const ShardSet& permitted,
                                                              base::TimePoint now)
 {
-  const bool held = role_ == TenancyRole::Active && term == term_ && holds(now);
+  const bool holder = role_ == TenancyRole::Active || role_ == TenancyRole::Evicted;
+  const bool held = holder && term == term_ && holds(now);
   if (Rules::kCheckVotesBeforeSend && !held) {
     return std::nullopt;
   }
@@ -20,9 +21,12 @@
   request.holder = self_;
   request.term = term;
   request.generation = row_.generation;
+  request.lifetime = timings_.grantLifetime();
+  if (role_ == TenancyRole::Evicted) {
+    return request;
+  }
   request.echo = grants_.echo();
   request.echoIncarnation = grants_.incarnation();
-  request.lifetime = timings_.grantLifetime();
   ShardSet shards = shardsToGrant(permitted);
   request.setDigest = shards.digest();
   if (request.setDigest != acceptedDigest_) {
@@ -54,8 +58,13 @@
 TenancyActions BasicTenancy<Rules>::onGrantReply(const GrantReply& reply, base::TimePoint now)
 {
   TenancyActions actions;
-  const bool current = role_ == TenancyRole::Active && reply.term == term_;
-  if (!current || reply.server != row_.server) {
+  if (reply.term != term_ || reply.server != row_.server) {
+    return actions;
+  }
+  if (role_ == TenancyRole::Evicted) {
+    lastAnswerAt_ = now;
+  }
+  if (role_ != TenancyRole::Active) {
     return actions;
   }
   if (reply.reason == GrantReason::StaleTerm) {
@@ -85,13 +94,14 @@
 
 template<OwnershipRules Rules>
 std::optional<Permit> BasicTenancy<Rules>::permitFor(const base::ServerId& successor,
-                                                     base::TimePoint now) const
+                                                     base::TimePoint now)
 {
   const auto shards = permitRow_.successors.find(successor);
   const base::TimePoint until = quorum_.validUntil(TenancyKind::Evicted);
   if (role_ != TenancyRole::Evicted || now >= until || shards == permitRow_.successors.end()) {
     return std::nullopt;
   }
+  askedForPermit_[successor] = now;
   ShardSet permitted = shards->second;
   permitted.erase(withheld_);
   return Permit{ row_.server, successor, term_, permitRow_.generation, permitted, until - now };
--- a/libs/ownership/src/TenancyRoles.h
+++ b/libs/ownership/src/TenancyRoles.h
@@ -59,6 +59,10 @@
     withheld_ = {};
   }
   role_ = TenancyRole::Evicted;
+  evictedAt_ = now;
+  failoverAt_ = now;
+  lastAnswerAt_ = {};
+  askedForPermit_.clear();
   actions.push_back(Evicted{ term_ });
   startFailover(actions, now);
 }
@@ -125,7 +129,7 @@
 {
   renewAt_ = now + timings_.renewalInterval();
   askVotes(actions, now);
-  if (role_ == TenancyRole::Active) {
+  if (role_ != TenancyRole::Evicting) {
     actions.push_back(SendGrant{ term_ });
   }
   if (change_ && change_->stage == MapChange::Stage::Releasing) {
@@ -133,25 +137,32 @@
   }
 }
 
-// An evicted server without shards may serve again. The permits stay for a while, until the
-// holders of the successors have the new map.
 template<OwnershipRules Rules>
-void BasicTenancy<Rules>::reinstateIfMoved(TenancyActions& actions, base::TimePoint now)
+bool BasicTenancy<Rules>::successorsAsk(base::TimePoint now) const
 {
-  const bool moved = row_.owned.empty() && row_.generation > permitRow_.generation;
-  if (role_ != TenancyRole::Evicted || change_ || !moved) {
-    reinstateAt_ = base::TimePoint::max();
+  return std::all_of(
+    permitRow_.successors.begin(), permitRow_.successors.end(), [&](const auto& successor) {
+      const auto asked = askedForPermit_.find(successor.first);
+      return asked != askedForPermit_.end() && now < asked->second + timings_.grantLifetime();
+    });
+}
+
+// An evicted server may serve again when its shards have moved, or when it answers again while a
+// successor doesn't: two servers that are each other's successors would else stay evicted. The
+// permits stay for a while, until the holders of the successors have the new map.
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::reinstateIfDue(TenancyActions& actions, base::TimePoint now)
+{
+  if (role_ != TenancyRole::Evicted || now < evictedAt_ + 2 * timings_.grantLifetime()) {
     return;
   }
-  if (reinstateAt_ == base::TimePoint::max()) {
-    reinstateAt_ = now + 2 * timings_.grantLifetime();
-  }
-  if (now < reinstateAt_) {
+  const bool moved = row_.owned.empty() && !change_;
+  const bool answers = lastAnswerAt_ > evictedAt_ && now < lastAnswerAt_ + timings_.grantLifetime();
+  if (!moved && (!answers || successorsAsk(now))) {
     return;
   }
-  reinstateAt_ = base::TimePoint::max();
   knownKind_ = TenancyKind::Evicted;
-  knownGeneration_ = permitRow_.generation;
+  knownRowGeneration_ = {};
   stepDown(actions, now);
   proposeAt_ = now + timings_.renewalInterval();
 }
--- a/libs/ownership/src/TenancyVotes.h
+++ b/libs/ownership/src/TenancyVotes.h
@@ -18,7 +18,7 @@
   if (row_.generation < knownFloor_ || now >= proposingSince_ + 2 * timings_.voteLifetime()) {
     requestBump(actions, now);
   }
-  const bool evicted = knownKind_ == TenancyKind::Evicted && knownGeneration_ == row_.generation &&
+  const bool evicted = knownKind_ == TenancyKind::Evicted && knownRowGeneration_ == row_.changed &&
                        !row_.owned.empty();
   const TenancyKind wanted = evicted ? TenancyKind::Evicted : TenancyKind::Active;
   if (!proposing || needsNewTerm(wanted)) {
@@ -37,7 +37,7 @@
 bool BasicTenancy<Rules>::needsNewTerm(TenancyKind wanted) const
 {
   return term_ <= highestTerm_ || wanted != proposedKind_ ||
-         (wanted == TenancyKind::Evicted && permitRow_.generation != row_.generation);
+         (wanted == TenancyKind::Evicted && permitRow_.changed != row_.changed);
 }
 
 template<OwnershipRules Rules>
@@ -77,8 +77,9 @@
   request.holder = self_;
   request.term = term_;
   request.kind = kind();
-  request.generation =
-    request.kind == TenancyKind::Evicted ? permitRow_.generation : row_.generation;
+  const ServerRow& used = request.kind == TenancyKind::Evicted ? permitRow_ : row_;
+  request.generation = used.generation;
+  request.rowGeneration = used.changed;
   request.floor = holds(now) ? floor_ : base::Generation();
   if (std::find(row_.voters.begin(), row_.voters.end(), voter) != row_.voters.end()) {
     std::copy_if(row_.voters.begin(),
@@ -121,7 +122,7 @@
   }
   highestTerm_ = reply.highestTerm;
   knownKind_ = reply.currentKind;
-  knownGeneration_ = reply.currentGeneration;
+  knownRowGeneration_ = reply.currentRowGeneration;
 }
 
 template<OwnershipRules Rules>
--- a/libs/ownership/src/VoterImpl.h
+++ b/libs/ownership/src/VoterImpl.h
@@ -80,7 +80,7 @@
   }
   reply.highestTerm = known.term;
   reply.currentKind = known.kind;
-  reply.currentGeneration = known.generation;
+  reply.currentRowGeneration = known.rowGeneration;
   reply.floor = known.floor;
   return reply;
 }
@@ -93,7 +93,7 @@
   if (request.term == known.term && sameHolder(request.holder, known.holder)) {
     const bool wasEvicted = known.kind == TenancyKind::Evicted;
     const bool changesBack =
-      wasEvicted && (request.kind != known.kind || request.generation != known.generation);
+      wasEvicted && (request.kind != known.kind || request.rowGeneration != known.rowGeneration);
     return changesBack ? VoteAnswer::StaleTerm : VoteAnswer::Granted;
   }
   if (request.term <= known.term) {
@@ -111,7 +111,7 @@
                                             const VoteRequest& request) const
 {
   const bool samePermits =
-    request.kind == TenancyKind::Active || request.generation == known.generation;
+    request.kind == TenancyKind::Active || request.rowGeneration == known.rowGeneration;
   const bool sameExecutors = request.kind == known.kind && samePermits;
   if (!sameExecutors && Rules::kWaitOutGrants) {
     return known.until + timings_.waitFor(timings_.grantLifetime());
@@ -132,7 +132,7 @@
   known.term = request.term;
   known.holder = request.holder;
   known.kind = request.kind;
-  known.generation = request.generation;
+  known.rowGeneration = request.rowGeneration;
   known.floor = std::max(known.floor, request.floor);
   if (request.resign) {
     known.resigned = true;
@@ -193,7 +193,7 @@
     reply.term = known.term;
     reply.holder = known.holder;
     reply.kind = known.kind;
-    reply.generation = known.generation;
+    reply.rowGeneration = known.rowGeneration;
     reply.floor = known.floor;
   }
   return reply;
@@ -220,7 +220,7 @@
     known.term = reply.term;
     known.holder = reply.holder;
     known.kind = reply.kind;
-    known.generation = reply.generation;
+    known.rowGeneration = reply.rowGeneration;
   }
   // A higher floor than the generation whose voters were asked: these may have been replaced, so
   // that others know more.
--- a/libs/ownership/tests/model/Model.h
+++ b/libs/ownership/tests/model/Model.h
@@ -6,6 +6,8 @@
 #include "ModelVm.h"
 #include "Network.h"
 
+#include <cstdlib>
+#include <iostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -62,10 +64,15 @@
 
   int pick(int below) { return std::uniform_int_distribution<>(0, below - 1)(random_); }
 
-  void pauseVm(int vm, base::Duration span) { pausedUntil_[vm] = events_.now() + span; }
+  void pauseVm(int vm, base::Duration span)
+  {
+    trace("v", vm, " pauses for ", span.count() / 1000000, " ms");
+    pausedUntil_[vm] = events_.now() + span;
+  }
 
   void restartVm(int vm, base::Duration down)
   {
+    trace("v", vm, " restarts");
     vms_[vm].reset();
     ++runs_[vm];
     events_.after(down, [this, vm, run = runs_[vm]] {
@@ -83,6 +90,7 @@
 
   void restartServer(int server, base::Duration down)
   {
+    trace("s", server, " restarts");
     servers_[server].up = false;
     servers_[server].restart(randomClock(), events_.now());
     events_.after(down, [this, server] { servers_[server].up = true; });
@@ -155,6 +163,38 @@
     return result;
   }
 
+  // The state of all tenancies and of the map, for reports of violations.
+  std::string describe() const
+  {
+    std::ostringstream text;
+    const MapPtr map = platform_.current();
+    text << "\n  platform: generation " << map->generation << ", owners";
+    for (const auto& shard : map->shards) {
+      text << " s" << shard.owner << ">s" << shard.successor;
+    }
+    for (int server = 0; server < serverCount(); ++server) {
+      text << "\n  s" << server << ": highest term " << servers_[server].highestTerm() << ", voters";
+      for (const base::VmId& voter : map->voters[server]) {
+        text << ' ' << voter;
+      }
+      for (int vm = 0; vm < vmCount(); ++vm) {
+        describeSeat(text, vm, server);
+      }
+    }
+    return text.str();
+  }
+
+  // Prints a line of the trace of a replayed schedule (OWNERSHIP_TRACE).
+  template<typename... Parts>
+  void trace(const Parts&... parts) const
+  {
+    static const bool kEnabled = std::getenv("OWNERSHIP_TRACE") != nullptr;
+    if (kEnabled) {
+      std::cerr << static_cast<double>(events_.now().count()) / 1e6 << " ms: ";
+      (std::cerr << ... << parts) << '\n';
+    }
+  }
+
   // An acknowledged write must be the one that the platform has under its generation.
   void checkAcknowledged()
   {
@@ -170,6 +210,21 @@
   std::size_t commits() const { return commits_; }
 
 private:
+  void describeSeat(std::ostream& text, int vm, int server) const
+  {
+    if (!vms_[vm]) {
+      text << "; v" << vm << " down";
+      return;
+    }
+    static const char* const kRoles[] = { "watching", "proposing", "active", "evicting", "evicted" };
+    const auto& tenancy = vms_[vm]->seats[server].tenancy;
+    text << "; v" << vm << ' ' << kRoles[static_cast<int>(tenancy.role())] << " term "
+         << tenancy.term() << " map " << tenancy.row().generation;
+    if (tenancy.change()) {
+      text << " change stage " << static_cast<int>(tenancy.change()->stage);
+    }
+  }
+
   static MapPtr firstMap(int vms, int servers, int shards)
   {
     auto map = std::make_shared<ModelMap>();
@@ -177,8 +232,9 @@
     map->writer = "first";
     for (int i = 0; i < shards; ++i) {
       const int owner = i % servers;
-      map->shards.push_back({ owner, (owner + 1 + (i / servers) % (servers - 1)) % servers });
+      map->shards.push_back({ owner, (owner + 1 + (i / servers) % (servers - 1)) % servers, base::Generation(1) });
     }
+    map->changed.assign(servers, base::Generation(1));
     for (int server = 0; server < servers; ++server) {
       map->voters.emplace_back();
       for (int i = 0; i < 3; ++i) {
@@ -340,11 +396,13 @@
 
   void answerPermit(int vm, int asker, std::uint64_t run, int successor, base::TimePoint askedAt)
   {
-    for (const auto& seat : vms_[vm]->seats) {
+    for (auto& seat : vms_[vm]->seats) {
       const auto permit = seat.tenancy.permitFor(ModelMap::id(successor), local(vm));
       if (permit) {
         toVm(vm, asker, run, [this, asker, successor, permit = *permit, askedAt] {
           vms_[asker]->permits.apply(permit, askedAt);
+          trace("v", asker, " gets permit for ", permit.shards.text(), " of ", permit.from, " to ",
+                permit.to, " term ", permit.term, " map ", permit.generation);
           const auto& tenancy = vms_[asker]->seats[successor].tenancy;
           sendGrant(asker, successor, tenancy.term());
         });
@@ -407,6 +465,8 @@
   void onGrant(int vm, int server, std::uint64_t run, const GrantRequest& request)
   {
     const GrantReply reply = servers_[server].grant(request, events_.now(), checker_);
+    trace("s", server, " gets term ", request.term, " of v", vm, " map ", request.generation, ": ",
+          request.shards ? request.shards->text() : "same", ", answer ", static_cast<int>(reply.reason));
     if (reply.accepted) {
       checkOverlap(server);
     }
@@ -421,6 +481,8 @@
   {
     toServer(vm, server, [this, vm, server, run = runs_[vm], request = action.request] {
       const ReleaseReply reply = servers_[server].release(request, events_.now());
+      trace("s", server, " releases ", request.shards.text(), " term ", request.term, ": ",
+            reply.released);
       network_.send(serverNode(server), vm, [this, vm, server, run, reply] {
         inVm(vm, run, [this, vm, server, reply] {
           apply(vm, server, vms_[vm]->seats[server].tenancy.onReleaseReply(reply, local(vm)));
@@ -429,12 +491,22 @@
     });
   }
 
-  void perform(int, int, const BecameHolder&) {}
-  void perform(int vm, int server, const LostTenancy&) { vms_[vm]->seats[server].write.reset(); }
+  void perform(int vm, int server, const BecameHolder& action)
+  {
+    trace("v", vm, " holds s", server, " in term ", action.term);
+  }
+
+  void perform(int vm, int server, const LostTenancy& action)
+  {
+    trace("v", vm, " loses s", server, " in term ", action.term);
+    vms_[vm]->seats[server].write.reset();
+  }
+
   void perform(int vm, int server, const ChangeResolved&) { vms_[vm]->seats[server].write.reset(); }
 
-  void perform(int vm, int, const Evicted&)
+  void perform(int vm, int server, const Evicted& action)
   {
+    trace("v", vm, " has evicted s", server, " in term ", action.term);
     for (int peer = 0; peer < vmCount(); ++peer) {
       toVm(vm, peer, 0, [this, peer] { askPermits(peer); });
     }
@@ -452,11 +524,16 @@
     for (const auto& range : action.shards.ranges()) {
       for (std::uint32_t i = range.first; i <= range.last; ++i) {
         moveShard(map->shards[i], action.kind, node.seats[server].moveTarget);
+        map->shards[i].since = map->generation;
+        map->changed[map->shards[i].owner] = map->generation;
       }
     }
+    map->changed[server] = map->generation;
     if (action.kind == ChangeKind::Voters) {
       map->voters[server] = action.voters;
     }
+    trace("v", vm, " may write generation ", map->generation, " for s", server, ", kind ",
+          static_cast<int>(action.kind), ", shards ", action.shards.text());
     node.seats[server].write = typename Vm::Write{ action.base, map, events_.now() };
     retryWrite(vm, server);
   }
@@ -527,6 +604,7 @@
     if (map->generation <= node.map->generation) {
       return;
     }
+    trace("v", vm, " adopts map ", map->generation, " of ", map->writer);
     node.map = map;
     for (int server = 0; server < serverCount(); ++server) {
       apply(vm, server, node.seats[server].tenancy.onMap(map->row(server), local(vm)));
--- a/libs/ownership/tests/model/ModelMap.h
+++ b/libs/ownership/tests/model/ModelMap.h
@@ -15,18 +15,22 @@
   {
     int owner = 0;
     int successor = 0;
+    base::Generation since;
   };
 
   base::Generation generation;
   std::string writer;
   std::vector<Shard> shards;
   std::vector<std::vector<base::VmId>> voters;
+  // By server, the last generation that changed its row.
+  std::vector<base::Generation> changed;
 
   ServerRow row(int server) const
   {
     ServerRow result;
     result.server = id(server);
     result.generation = generation;
+    result.changed = changed[server];
     result.voters = voters[server];
     for (std::uint32_t i = 0; i < shards.size(); ++i) {
       if (shards[i].owner == server) {
--- a/libs/ownership/tests/model/ModelServer.h
+++ b/libs/ownership/tests/model/ModelServer.h
@@ -51,6 +51,7 @@
   }
 
   BasicGrantRegister<Rules>& grants() { return register_; }
+  base::Term highestTerm() const { return register_.highestTerm(); }
   base::TimePoint local(base::Duration real) const { return clock_.at(real); }
   std::uint64_t incarnation() const { return incarnation_; }
 
--- a/libs/ownership/tests/model/ModelVm.h
+++ b/libs/ownership/tests/model/ModelVm.h
@@ -51,9 +51,15 @@
 
   // The view that PermitTable needs.
   base::Generation generation() const { return map->generation; }
-  ShardSet ownedBy(const base::ServerId& server) const
+  ShardSet ownedSince(const base::ServerId& server, base::Generation since) const
   {
-    return map->row(ModelMap::index(server)).owned;
+    ShardSet result;
+    for (std::uint32_t i = 0; i < map->shards.size(); ++i) {
+      if (ModelMap::id(map->shards[i].owner) == server && map->shards[i].since <= since) {
+        result.insert(base::ShardId(i));
+      }
+    }
+    return result;
   }
 
   int index;
--- a/libs/ownership/tests/model/Schedule.h
+++ b/libs/ownership/tests/model/Schedule.h
@@ -35,7 +35,7 @@
     if (!model_.checker().violation()) {
       model_.checkAcknowledged();
       for (const std::uint32_t shard : model_.unserved()) {
-        model_.checker().fail(model_.events().now(), "shard ", shard, " is not served");
+        model_.checker().fail(model_.events().now(), "shard ", shard, " is not served", model_.describe());
       }
     }
     return { model_.checker().violation(), model_.commits(), model_.acknowledgedCount() };
