--- a/libs/ownership/src/TenancyChanges.h
+++ b/libs/ownership/src/TenancyChanges.h
@@ -100,14 +100,14 @@
     useVoters();
     return;
   }
-  actions.push_back(WriteMap{ change_->kind, change_->base, change_->shards, change_->voters });
+  actions.emplace_back(WriteMap{ change_->kind, change_->base, change_->shards, change_->voters });
 }
 
 template<OwnershipRules Rules>
 void BasicTenancy<Rules>::resolveChange(TenancyActions& actions, base::TimePoint now)
 {
   if (writing() && row_.generation > change_->base) {
-    actions.push_back(ChangeResolved{ change_->kind });
+    actions.emplace_back(ChangeResolved{ change_->kind });
     change_.reset();
     // Several holders may be writing the same map.
     failoverAt_ = now + timings_.renewalInterval();
--- a/libs/ownership/src/TenancyEvents.h
+++ b/libs/ownership/src/TenancyEvents.h
@@ -120,6 +120,9 @@
   const bool wasVoter = isVoter();
   const ShardSet before = row_.owned;
   row_ = row;
+  if (row_.changed == permitRow_.changed) {
+    permitRow_ = row_;
+  }
   resolveChange(actions, now);
   useVoters();
   if (role_ == TenancyRole::Watching) {
@@ -130,7 +133,7 @@
   }
   checkVotes(actions, now);
   if (role_ == TenancyRole::Active && !(before == row_.owned)) {
-    actions.push_back(SendGrant{ term_ });
+    actions.emplace_back(SendGrant{ term_ });
   }
   continueChange(actions, now);
   startFailover(actions, now);
--- a/libs/ownership/src/TenancyGrants.h
+++ b/libs/ownership/src/TenancyGrants.h
@@ -86,7 +86,7 @@
   } else if (reply.reason == GrantReason::NoEcho || reply.reason == GrantReason::UnknownDigest) {
     acceptedDigest_.reset();
     if (fresh) {
-      actions.push_back(SendGrant{ term_ });
+      actions.emplace_back(SendGrant{ term_ });
     }
   }
   return actions;
--- a/libs/ownership/src/TenancyRoles.h
+++ b/libs/ownership/src/TenancyRoles.h
@@ -46,8 +46,8 @@
   change_.reset();
   floor_ = {};
   withheld_ = {};
-  actions.push_back(BecameHolder{ term_ });
-  actions.push_back(SendGrant{ term_ });
+  actions.emplace_back(BecameHolder{ term_ });
+  actions.emplace_back(SendGrant{ term_ });
 }
 
 template<OwnershipRules Rules>
@@ -63,14 +63,14 @@
   failoverAt_ = now;
   lastAnswerAt_ = {};
   askedForPermit_.clear();
-  actions.push_back(Evicted{ term_ });
+  actions.emplace_back(Evicted{ term_ });
   startFailover(actions, now);
 }
 
 template<OwnershipRules Rules>
 void BasicTenancy<Rules>::stepDown(TenancyActions& actions, base::TimePoint now)
 {
-  actions.push_back(LostTenancy{ term_ });
+  actions.emplace_back(LostTenancy{ term_ });
   change_.reset();
   useVoters();
   quorum_.clear();
@@ -130,10 +130,10 @@
   renewAt_ = now + timings_.renewalInterval();
   askVotes(actions, now);
   if (role_ != TenancyRole::Evicting) {
-    actions.push_back(SendGrant{ term_ });
+    actions.emplace_back(SendGrant{ term_ });
   }
   if (change_ && change_->stage == MapChange::Stage::Releasing) {
-    actions.push_back(releaseAction());
+    actions.emplace_back(releaseAction());
   }
 }
 
--- a/libs/ownership/src/TenancyVotes.h
+++ b/libs/ownership/src/TenancyVotes.h
@@ -25,10 +25,10 @@
     highestTerm_ = std::max(highestTerm_, term_);
     term_ = base::Term(highestTerm_.value() + 1);
     proposedKind_ = wanted;
-    permitRow_ = row_;
     earlierGrantsExpire_ = {};
     quorum_.clear();
   }
+  permitRow_ = row_;
   askVotes(actions, now);
 }
 
@@ -65,7 +65,7 @@
     }
     SendVote action{ voter, voteRequest(voter, now) };
     action.request.resign = resign;
-    actions.push_back(std::move(action));
+    actions.emplace_back(std::move(action));
   }
 }
 
@@ -145,7 +145,7 @@
   if (role_ == TenancyRole::Proposing) {
     noteEarlierVotes(reply, now);
     if (reply.voter != self_.vm) {
-      actions.push_back(SendVote{ self_.vm, voteRequest(self_.vm, now) });
+      actions.emplace_back(SendVote{ self_.vm, voteRequest(self_.vm, now) });
     }
   }
   checkVotes(actions, now);
@@ -198,7 +198,7 @@
   bumpAgainAt_ = now + timings_.voteLifetime();
   // Kept from the first request for this generation: the write may have begun then.
   bumps_.try_emplace(row_.generation, unlearned_);
-  actions.push_back(WriteBump{ row_.generation });
+  actions.emplace_back(WriteBump{ row_.generation });
 }
 
 template<OwnershipRules Rules>
--- a/libs/ownership/tests/model/Model.h
+++ b/libs/ownership/tests/model/Model.h
@@ -131,13 +131,15 @@
     }
     auto& seat = vms_[holder]->seats[server];
     std::vector<base::VmId> voters = seat.tenancy.row().voters;
-    const base::VmId joining = Vm::name(pick(vmCount()));
-    if (std::find(voters.begin(), voters.end(), joining) == voters.end()) {
-      voters[pick(static_cast<int>(voters.size()))] = joining;
-      if (const auto actions = seat.tenancy.startVoterChange(voters, local(holder))) {
-        apply(holder, server, *actions);
+    for (int vm = 0; vm < vmCount(); ++vm) {
+      if (std::find(voters.begin(), voters.end(), Vm::name(vm)) == voters.end()) {
+        voters[pick(static_cast<int>(voters.size()))] = Vm::name(vm);
+        break;
       }
     }
+    if (const auto actions = seat.tenancy.startVoterChange(voters, local(holder))) {
+      apply(holder, server, *actions);
+    }
   }
 
   void resign(int server)
@@ -424,6 +426,10 @@
     const int to = Vm::number(action.to);
     toVm(vm, to, 0, [this, vm, to, server, run = runs_[vm], request = action.request] {
       const VoteReply reply = vms_[to]->voter.vote(request, local(to));
+      trace("v", to, " answers v", vm, " for s", server, " term ", request.term, " kind ",
+            static_cast<int>(request.kind), " map ", request.generation, " proof ",
+            request.proof.has_value(), ": ", static_cast<int>(reply.answer), ", highest ",
+            reply.highestTerm, " floor ", reply.floor);
       if (reply.answer == VoteAnswer::Granted) {
         auto& tenancy = vms_[to]->seats[server].tenancy;
         if (request.resign) {
--- a/libs/ownership/tests/model/Schedule.h
+++ b/libs/ownership/tests/model/Schedule.h
@@ -53,7 +53,12 @@
       { 0.05 * scale * model_.pick(3), 0.02 * scale * model_.pick(4), 0.02 * model_.pick(3) });
     model_.setWorkerDelay(0.02 * model_.pick(4));
     model_.platform().setFaults(0.15 * model_.pick(3), 0.1 * model_.pick(4));
-    const int faults = 3 + model_.pick(12);
+    for (int moves = model_.pick(12); moves > 0; --moves) {
+      model_.events().at(milliseconds(1100 + model_.pick(4700)), [this] {
+        model_.planMove(model_.pick(model_.serverCount()), model_.pick(model_.serverCount()));
+      });
+    }
+    const int faults = 3 + model_.pick(20);
     for (int i = 0; i < faults; ++i) {
       model_.events().at(milliseconds(1100 + model_.pick(4700)), [this] { fault(); });
     }
@@ -63,7 +68,7 @@
   {
     const int vm = model_.pick(model_.vmCount());
     const int server = model_.pick(model_.serverCount());
-    switch (model_.pick(16)) {
+    switch (model_.pick(18)) {
       case 0:
         return model_.pauseVm(vm, span(1800));
       case 1:
