--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -73,7 +73,7 @@
 
   // Messages of peers.
   VoteBatchReply answerVotes(const VoteBatch& batch);
-  std::vector<ownership::Permit> answerPermits(const PermitQuery& query) const;
+  std::vector<ownership::Permit> answerPermits(const PermitQuery& query);
   void onHeartbeat(const Heartbeat& heartbeat);
 
   // Starts to move shards off a server whose tenancy this VM holds. False when it can't now.
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -490,7 +490,7 @@
   return reply;
 }
 
-std::vector<ownership::Permit> OwnershipController::answerPermits(const PermitQuery& query) const
+std::vector<ownership::Permit> OwnershipController::answerPermits(const PermitQuery& query)
 {
   const TimePoint now = context_.now();
   std::vector<ownership::Permit> permits;
--- a/libs/ownership/src/TenancyEvents.h
+++ b/libs/ownership/src/TenancyEvents.h
@@ -48,7 +48,7 @@
 {
   checkVotes(actions, now);
   evictIfSilent(now);
-  reinstateIfMoved(actions, now);
+  reinstateIfDue(actions, now);
   if (role_ == TenancyRole::Watching) {
     return;
   }
@@ -120,7 +120,10 @@
   const bool wasVoter = isVoter();
   const ShardSet before = row_.owned;
   row_ = row;
-  resolveChange(actions);
+  if (row_.changed == permitRow_.changed) {
+    permitRow_ = row_;
+  }
+  resolveChange(actions, now);
   useVoters();
   if (role_ == TenancyRole::Watching) {
     if (!wasVoter && isVoter()) {
@@ -130,7 +133,7 @@
   }
   checkVotes(actions, now);
   if (role_ == TenancyRole::Active && !(before == row_.owned)) {
-    actions.push_back(SendGrant{ term_ });
+    actions.emplace_back(SendGrant{ term_ });
   }
   continueChange(actions, now);
   startFailover(actions, now);
