--- a/libs/control/include/control/Controller.h
+++ b/libs/control/include/control/Controller.h
@@ -62,6 +62,9 @@
   // Whether requests can be routed: configuration is known, and so are the maps of all services.
   bool isReady() const;
 
+  // An operator asks for planned moves.
+  void requestChange(const ChangeOrder& order) { orderChange(order); }
+
   ConfigController& config() { return config_; }
   MapController& maps() { return maps_; }
   OwnershipController& ownership() { return ownership_; }
--- a/libs/control/include/control/MapController.h
+++ b/libs/control/include/control/MapController.h
@@ -81,6 +81,9 @@
   std::map<base::ServiceId, base::Generation> generations() const;
   const placement::OwnershipHistory* historyOf(const base::ServiceId& service) const;
 
+  // Moves that holders on this VM have under way.
+  std::vector<placement::Move> plannedMoves(const base::ServiceId& service) const;
+
   // Load of shards as traffic threads count it, in requests per second.
   void observeLoad(const base::ServiceId& service, base::ShardId shard, double requestsPerSecond);
 
--- a/libs/control/src/ManagedServer.h
+++ b/libs/control/src/ManagedServer.h
@@ -42,11 +42,11 @@
 
   base::Generation generation() const { return map->generation(); }
 
-  const ownership::ShardSet& ownedBy(const base::ServerId& server) const
+  // Shards that the server has owned with the same successor since the generation.
+  ownership::ShardSet ownedSince(const base::ServerId& server, base::Generation since) const
   {
-    static const ownership::ShardSet kNone;
     const auto found = owned.find(server);
-    return found == owned.end() ? kNone : found->second;
+    return found == owned.end() || since < generation() ? ownership::ShardSet() : found->second;
   }
 };
 
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -244,6 +244,17 @@
   return state == nullptr ? nullptr : &state->history;
 }
 
+std::vector<placement::Move> MapController::plannedMoves(const ServiceId& service) const
+{
+  std::vector<placement::Move> moves;
+  if (const ServiceState* state = findState(service)) {
+    for (const auto& [server, planned] : state->planned) {
+      moves.insert(moves.end(), planned.begin(), planned.end());
+    }
+  }
+  return moves;
+}
+
 void MapController::observeLoad(const ServiceId& service,
                                 base::ShardId shard,
                                 double requestsPerSecond)
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -58,6 +58,7 @@
   ownership::ServerRow row;
   row.server = server;
   row.generation = map.generation();
+  row.changed = map.generation();
   for (const base::ShardId shard : map.shardsOf(server)) {
     row.owned.insert(shard);
     if (const ServerId* successor = map.successor(shard)) {
--- a/libs/control/src/PeerCodec.cpp
+++ b/libs/control/src/PeerCodec.cpp
@@ -84,8 +84,9 @@
 {
   json value = { { "server", request.server.value() },  { "holder", toJson(request.holder) },
                  { "term", request.term.value() },      { "kind", kindNumber(request.kind) },
-                 { "gen", request.generation.value() }, { "floor", request.floor.value() },
-                 { "peers", textsOf(request.peers) },   { "asked", nanos(request.askedAt) } };
+                 { "gen", request.generation.value() }, { "row", request.rowGeneration.value() },
+                 { "floor", request.floor.value() },    { "peers", textsOf(request.peers) },
+                 { "asked", nanos(request.askedAt) } };
   if (request.proof) {
     value["proof"] =
       json::array({ request.proof->voter.value(), request.proof->generation.value() });
@@ -104,6 +105,7 @@
   request.term = strongOf<base::Term>(value.at("term"));
   request.kind = kindOf(value.at("kind"));
   request.generation = strongOf<base::Generation>(value.at("gen"));
+  request.rowGeneration = strongOf<base::Generation>(value.at("row"));
   request.floor = strongOf<base::Generation>(value.at("floor"));
   request.peers = idsOf<base::VmId>(value.at("peers"));
   request.askedAt = timeOf(value.at("asked"));
@@ -127,7 +129,7 @@
            { "answer", static_cast<int>(reply.answer) },
            { "highest", reply.highestTerm.value() },
            { "cur_kind", kindNumber(reply.currentKind) },
-           { "cur_gen", reply.currentGeneration.value() },
+           { "cur_row", reply.currentRowGeneration.value() },
            { "floor", reply.floor.value() },
            { "remaining_ns", reply.remaining.count() } };
 }
@@ -145,7 +147,7 @@
   reply.answer = answerOf(value.at("answer"));
   reply.highestTerm = strongOf<base::Term>(value.at("highest"));
   reply.currentKind = kindOf(value.at("cur_kind"));
-  reply.currentGeneration = strongOf<base::Generation>(value.at("cur_gen"));
+  reply.currentRowGeneration = strongOf<base::Generation>(value.at("cur_row"));
   reply.floor = strongOf<base::Generation>(value.at("floor"));
   reply.remaining = Duration(value.at("remaining_ns").get<std::int64_t>());
   return reply;
@@ -177,7 +179,7 @@
            { "to", reply.to.value() },         { "run", reply.toIncarnation.value() },
            { "round", reply.round },           { "known", reply.known },
            { "term", reply.term.value() },     { "holder", toJson(reply.holder) },
-           { "kind", kindNumber(reply.kind) }, { "gen", reply.generation.value() },
+           { "kind", kindNumber(reply.kind) }, { "row", reply.rowGeneration.value() },
            { "floor", reply.floor.value() } };
 }
 
@@ -193,7 +195,7 @@
   reply.term = strongOf<base::Term>(value.at("term"));
   reply.holder = holderOf(value.at("holder"));
   reply.kind = kindOf(value.at("kind"));
-  reply.generation = strongOf<base::Generation>(value.at("gen"));
+  reply.rowGeneration = strongOf<base::Generation>(value.at("row"));
   reply.floor = strongOf<base::Generation>(value.at("floor"));
   return reply;
 }
--- a/programs/sycamored/src/Daemon.cpp
+++ b/programs/sycamored/src/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include "Logging.h"
+#include "OperatorGateway.h"
 #include "PeerApi.h"
 #include "StatusApi.h"
 
@@ -15,6 +16,8 @@
 #include <transport/HttpClientPool.h>
 #include <transport/HttpServer.h>
 
+#include <operators/OperatorService.h>
+
 #include <random>
 #include <thread>
 
@@ -71,11 +74,15 @@
     peers_.start();
     status_.start();
     thread_.startTicking(kTickInterval, [this] { controller_->tick(); });
+    startOperators();
   }
 
   ~Impl()
   {
     const TimePoint deadline = SteadyClock().now() + kStopTime;
+    if (operators_) {
+      operators_->stop(base::milliseconds(kStopTime));
+    }
     callers_.stop(deadline);
     peers_.stop(deadline);
     status_.stop(deadline);
@@ -103,7 +110,7 @@
   std::string addresses() const
   {
     return "listening callers=" + callerBound_.toString() + " peers=" + peerBound_.toString() +
-           " status=" + statusBound_.toString();
+           " status=" + statusBound_.toString() + " operators=" + operatorBound_.toString();
   }
 
 private:
@@ -128,6 +135,23 @@
       thread_, *controller_, dispatchers_, faults_, settings_.debugFaults);
   }
 
+  void startOperators()
+  {
+    gateway_ = std::make_unique<OperatorGateway>(thread_,
+                                                 *controller_,
+                                                 quarantine_,
+                                                 trafficClients_,
+                                                 settings_.platformAddress,
+                                                 SYCAMORE_VERSION);
+    operators::OperatorServiceSettings settings;
+    settings.address = settings_.operatorAddress;
+    settings.tokens = settings_.operatorTokens;
+    settings.allowWithoutToken = settings_.allowOperatorsWithoutToken;
+    operators_ = std::make_unique<operators::OperatorService>(settings, *gateway_);
+    operatorBound_ = HostPort::parse(settings_.operatorAddress);
+    operatorBound_.port = operators_->port();
+  }
+
   void handleCaller(transport::ServerRequest& request, transport::ServerResponse& response)
   {
     if (request.path() == "/readyz" || request.path() == "/healthz") {
@@ -162,12 +186,15 @@
   std::unique_ptr<router::RequestRouter> router_;
   std::unique_ptr<PeerApi> peerApi_;
   std::unique_ptr<StatusApi> statusApi_;
+  std::unique_ptr<OperatorGateway> gateway_;
+  std::unique_ptr<operators::OperatorService> operators_;
   HttpServer callers_;
   HttpServer peers_;
   HttpServer status_;
   HostPort callerBound_;
   HostPort peerBound_;
   HostPort statusBound_;
+  HostPort operatorBound_;
 };
 
 Daemon::Daemon(DaemonSettings settings)
