--- a/libs/configuration/include/configuration/ConfigSpread.h
+++ b/libs/configuration/include/configuration/ConfigSpread.h
@@ -73,6 +73,8 @@
     std::optional<ConfigDigest> digest;
     base::TimePoint heard{};
     std::optional<base::TimePoint> fetchDeadline;
+    // Our digest when the fetch began: if it changed since, the fetch may have brought a part.
+    ConfigDigest oursAtFetch;
     base::TimePoint nextFetch{};
     base::Duration pause{};
   };
--- a/libs/configuration/include/configuration/ConfigStore.h
+++ b/libs/configuration/include/configuration/ConfigStore.h
@@ -52,7 +52,7 @@
   explicit ConfigStore(std::size_t maxTombstones = kMaxTombstones);
 
   Adoption adopt(const ConfigObject& object, ConfigSource source);
-  // Returns how many were adopted.
+  // Returns how many were adopted. Publishes one snapshot for all of them.
   std::size_t adoptAll(const ConfigObjects& objects, ConfigSource source);
 
   // Deleted objects are found too, as long as their tombstone is kept.
@@ -85,7 +85,10 @@
   void store(const ConfigObject& object, bool deleted);
   void erase(const ObjectName& name);
   void dropOldTombstones();
-  void publish(const ConfigObject& object);
+  Adoption adoptInto(std::shared_ptr<ConfigSnapshot>& next,
+                     const ConfigObject& object,
+                     ConfigSource source);
+  void putInEffect(ConfigSnapshot& next, const ConfigObject& object) const;
 
   std::size_t maxTombstones_;
   bool droppedTombstones_ = false;
--- a/libs/configuration/src/ConfigSpread.cpp
+++ b/libs/configuration/src/ConfigSpread.cpp
@@ -51,11 +51,15 @@
                                           base::TimePoint now)
 {
   const auto found = peers_.find(peer);
-  if (found != peers_.end()) {
-    found->second.fetchDeadline.reset();
-    if (!answered || found->second.digest != ours) {
-      pauseFetches(found->second, now);
-    }
+  if (found == peers_.end()) {
+    return {};
+  }
+  Peer& state = found->second;
+  state.fetchDeadline.reset();
+  if (answered && state.oursAtFetch != ours) {
+    state.pause = {};
+  } else {
+    pauseFetches(state, now);
   }
   return { chooseFetches(ours, now), {} };
 }
@@ -80,6 +84,7 @@
   std::vector<base::VmId> chosen;
   for (auto& [heard, id] : candidates) {
     peers_[id].fetchDeadline = now + timing_.fetchTimeout;
+    peers_[id].oursAtFetch = ours;
     chosen.push_back(std::move(id));
   }
   return chosen;
--- a/libs/configuration/src/ConfigStore.cpp
+++ b/libs/configuration/src/ConfigStore.cpp
@@ -31,7 +31,7 @@
 
 // Puts the document in effect, or keeps the last usable one and notes why.
 template<typename Id, typename Config>
-void putInEffect(const Id& id,
+void useDocument(const Id& id,
                  const ConfigObject& object,
                  base::Version previous,
                  std::map<Id, Config>& inEffect,
@@ -64,28 +64,23 @@
 
 Adoption ConfigStore::adopt(const ConfigObject& object, ConfigSource source)
 {
-  if (!isConfiguration(object.name)) {
-    return Adoption::NotConfiguration;
-  }
-  const bool deleted = StoredValue::parse(object.value).deleted();
-  const Adoption verdict = judge(object, source, deleted);
-  if (verdict == Adoption::Contradiction) {
-    ++contradictions_;
-  }
-  if (verdict != Adoption::Adopted) {
-    return verdict;
+  std::shared_ptr<ConfigSnapshot> next;
+  const Adoption verdict = adoptInto(next, object, source);
+  if (next) {
+    snapshot_ = std::move(next);
   }
-  publish(object);
-  store(object, deleted);
-  ++adoptions_;
   return verdict;
 }
 
 std::size_t ConfigStore::adoptAll(const ConfigObjects& objects, ConfigSource source)
 {
+  std::shared_ptr<ConfigSnapshot> next;
   std::size_t adopted = 0;
   for (const ConfigObject& object : objects) {
-    adopted += adopt(object, source) == Adoption::Adopted ? 1 : 0;
+    adopted += adoptInto(next, object, source) == Adoption::Adopted ? 1 : 0;
+  }
+  if (next) {
+    snapshot_ = std::move(next);
   }
   return adopted;
 }
@@ -189,16 +184,38 @@
   }
 }
 
-void ConfigStore::publish(const ConfigObject& object)
+// Copies the snapshot into `next` when the first object is adopted.
+Adoption ConfigStore::adoptInto(std::shared_ptr<ConfigSnapshot>& next,
+                                const ConfigObject& object,
+                                ConfigSource source)
+{
+  if (!isConfiguration(object.name)) {
+    return Adoption::NotConfiguration;
+  }
+  const bool deleted = StoredValue::parse(object.value).deleted();
+  const Adoption verdict = judge(object, source, deleted);
+  if (verdict == Adoption::Contradiction) {
+    ++contradictions_;
+  }
+  if (verdict == Adoption::Adopted) {
+    if (!next) {
+      next = std::make_shared<ConfigSnapshot>(*snapshot_);
+    }
+    putInEffect(*next, object);
+    store(object, deleted);
+    ++adoptions_;
+  }
+  return verdict;
+}
+
+void ConfigStore::putInEffect(ConfigSnapshot& next, const ConfigObject& object) const
 {
-  auto next = std::make_shared<ConfigSnapshot>(*snapshot_);
   const base::Version previous = versionOf(object.name);
   if (const auto service = serviceOf(object.name)) {
-    putInEffect(*service, object, previous, next->services, next->unusable);
+    useDocument(*service, object, previous, next.services, next.unusable);
   } else if (const auto domain = domainOf(object.name)) {
-    putInEffect(*domain, object, previous, next->domains, next->unusable);
+    useDocument(*domain, object, previous, next.domains, next.unusable);
   }
-  snapshot_ = std::move(next);
 }
 
 } // namespace sycamore::configuration
--- a/libs/configuration/tests/ConfigSpreadTest.cpp
+++ b/libs/configuration/tests/ConfigSpreadTest.cpp
@@ -286,3 +286,23 @@
   }
   CHECK(fetches <= 34);
 }
+
+// Guards against a restarted VM that waits longer and longer between the parts of a large
+// configuration.
+TEST_CASE("a fetch that brought a part is followed by the next one at once")
+{
+  ConfigSpread spread(base::VmId("vm-a0"));
+  const base::VmId peer("vm-a1");
+  spread.setPeers({ peer });
+  ConfigDigest theirs;
+  theirs.toggle(ObjectName("domain.a"), base::Version(100));
+  ConfigDigest ours;
+  base::ManualClock clock;
+  auto actions = spread.onHeartbeat(peer, theirs, ours, clock.now());
+  for (std::uint64_t part = 1; part <= 20; ++part) {
+    REQUIRE(actions.fetch.size() == 1);
+    clock.advance(milliseconds(5));
+    ours.toggle(ObjectName("domain.b"), base::Version(part));
+    actions = spread.onFetchResult(peer, true, ours, clock.now());
+  }
+}
--- a/libs/operators/include/operators/OperatorClient.h
+++ b/libs/operators/include/operators/OperatorClient.h
@@ -14,13 +14,16 @@
 struct OperatorClientSettings
 {
   // "ip:port".
-  std::string address;
+  std::string address{};
   // Empty sends none.
-  std::string token;
+  std::string token{};
   // PEM text of the authority that signed the server's certificate; empty means plaintext.
-  std::string authority;
+  std::string authority{};
   // Name in the server's certificate, if it isn't the address.
-  std::string serverName;
+  std::string serverName{};
+  // PEM texts of the caller's own certificate and key, if the server asks for one.
+  std::string certificate{};
+  std::string privateKey{};
 };
 
 // Calls an OperatorService. Requests and replies are JSON objects with the field names of
--- a/libs/operators/src/OperatorClient.cpp
+++ b/libs/operators/src/OperatorClient.cpp
@@ -37,6 +37,8 @@
   }
   grpc::SslCredentialsOptions options;
   options.pem_root_certs = settings.authority;
+  options.pem_cert_chain = settings.certificate;
+  options.pem_private_key = settings.privateKey;
   return grpc::CreateCustomChannel(settings.address, grpc::SslCredentials(options), arguments);
 }
 
--- a/libs/operators/tests/FakeBackend.h
+++ b/libs/operators/tests/FakeBackend.h
@@ -32,7 +32,13 @@
   }
   ChangeReply deleteService(const ServiceDeletion& request, const Context&) override
   {
-    return change("deleteService", request.baseVersion == 7, request.dryRun);
+    ChangeReply reply = change("deleteService", request.baseVersion == 7, request.dryRun);
+    if (request.service == "doubtful") {
+      reply.outcome = ReplyOutcome::InDoubt;
+    } else if (request.service == "faulty") {
+      reply.outcome = ReplyOutcome::Refused;
+    }
+    return reply;
   }
   StoredObject getService(const ServiceQuery& request, const Context& context) override
   {
--- a/libs/operators/tests/OperatorServiceTest.cpp
+++ b/libs/operators/tests/OperatorServiceTest.cpp
@@ -38,7 +38,7 @@
 
   OperatorClient client(const std::string& token) const
   {
-    return OperatorClient({ address(), token, "", "" });
+    return OperatorClient({ address(), token });
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(service.port()); }
 
@@ -235,6 +235,18 @@
   const SelfSigned other = makeSelfSigned("operators.example");
   OperatorClient wary({ fixture.address(), kReadToken, other.certificate, "operators.example" });
   CHECK_FALSE(wary.connect(milliseconds(2000)));
+
+  settings.tls.callerAuthority = other.certificate;
+  Fixture strict(settings);
+  const OperatorClientSettings nameless{
+    strict.address(), kReadToken, identity.certificate, "operators.example"
+  };
+  OperatorClientSettings known = nameless;
+  known.certificate = other.certificate;
+  known.privateKey = other.privateKey;
+  CHECK(OperatorClient(known).call("GetVersion", json::object(), kTimeout)["vm"] == "vm-a1");
+  CHECK_THROWS_AS(OperatorClient(nameless).call("GetVersion", json::object(), kTimeout),
+                  OperatorError);
 }
 
 // Guards against a daemon that seems to run while another process has its port, and against
--- a/programs/sycamorectl/src/Flags.cpp
+++ b/programs/sycamorectl/src/Flags.cpp
@@ -12,6 +12,8 @@
 ABSL_FLAG(std::string, token_file, "", "file that holds the operator's token");
 ABSL_FLAG(std::string, ca_file, "", "PEM file of the authority of the servers' certificates");
 ABSL_FLAG(std::string, tls_name, "", "name in the servers' certificates, if not the address");
+ABSL_FLAG(std::string, cert_file, "", "PEM file of the operator's own certificate, if asked for");
+ABSL_FLAG(std::string, key_file, "", "PEM file of that certificate's key");
 ABSL_FLAG(std::string, output, "table", "table or json");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(5), "time for the call, such as 500ms or 5s");
 ABSL_FLAG(bool, help, false, "show help");
@@ -27,8 +29,9 @@
 
 const std::vector<std::string>& commonFlags()
 {
-  static const std::vector<std::string> kFlags = { "server", "token_file", "ca_file", "tls_name",
-                                                   "output", "timeout",    "help" };
+  static const std::vector<std::string> kFlags = { "server",   "token_file", "ca_file",
+                                                   "tls_name", "cert_file",  "key_file",
+                                                   "output",   "timeout",    "help" };
   return kFlags;
 }
 
--- a/programs/sycamorectl/src/Flags.h
+++ b/programs/sycamorectl/src/Flags.h
@@ -11,6 +11,8 @@
 ABSL_DECLARE_FLAG(std::string, token_file);
 ABSL_DECLARE_FLAG(std::string, ca_file);
 ABSL_DECLARE_FLAG(std::string, tls_name);
+ABSL_DECLARE_FLAG(std::string, cert_file);
+ABSL_DECLARE_FLAG(std::string, key_file);
 ABSL_DECLARE_FLAG(std::string, output);
 ABSL_DECLARE_FLAG(absl::Duration, timeout);
 ABSL_DECLARE_FLAG(bool, help);
--- a/programs/sycamorectl/src/Session.cpp
+++ b/programs/sycamorectl/src/Session.cpp
@@ -34,17 +34,19 @@
   return servers;
 }
 
+// The file's text, empty if no file is named.
+std::string contentOf(const std::string& path)
+{
+  return path.empty() ? "" : readFile(path);
+}
+
 operators::OperatorClientSettings settingsFromFlags()
 {
   operators::OperatorClientSettings settings;
-  const std::string tokenFile = absl::GetFlag(FLAGS_token_file);
-  if (!tokenFile.empty()) {
-    settings.token = withoutSpaceAtEnds(readFile(tokenFile));
-  }
-  const std::string authorityFile = absl::GetFlag(FLAGS_ca_file);
-  if (!authorityFile.empty()) {
-    settings.authority = readFile(authorityFile);
-  }
+  settings.token = withoutSpaceAtEnds(contentOf(absl::GetFlag(FLAGS_token_file)));
+  settings.authority = contentOf(absl::GetFlag(FLAGS_ca_file));
+  settings.certificate = contentOf(absl::GetFlag(FLAGS_cert_file));
+  settings.privateKey = contentOf(absl::GetFlag(FLAGS_key_file));
   settings.serverName = absl::GetFlag(FLAGS_tls_name);
   return settings;
 }
--- a/programs/sycamorectl/tests/CtlTest.cpp
+++ b/programs/sycamorectl/tests/CtlTest.cpp
@@ -117,6 +117,8 @@
     { ExitStatus::Ok, { "version" } },
     { ExitStatus::Failed, { "service", "get", "absent" } },
     { ExitStatus::Failed, { "service", "get", "slow", "--timeout=100ms" } },
+    { ExitStatus::Failed, { "service", "delete", "doubtful", "--base=7" } },
+    { ExitStatus::Failed, { "service", "delete", "faulty", "--base=7" } },
     { ExitStatus::Failed, { "domain", "out", "moon" } },
     { ExitStatus::Failed, { "quarantine", "lift", "q2" } },
     { ExitStatus::Usage, { "service" } },
