--- a/libs/platform/src/HttplibTransport.cpp
+++ b/libs/platform/src/HttplibTransport.cpp
@@ -68,6 +68,12 @@
     }
   }
 
+  void clear()
+  {
+    const std::lock_guard lock(mutex_);
+    idle_.clear();
+  }
+
 private:
   std::string host_;
   int port_;
@@ -115,6 +121,8 @@
   };
   const httplib::Result result = client->send(request);
   if (!result) {
+    // Kept connections can all go silent at once while new ones work.
+    pool_->clear();
     throw TransportError("no answer from the platform: " + httplib::to_string(result.error()),
                          !failedBeforeSending(result.error()));
   }
--- a/libs/platform/tests/HttplibTransportTest.cpp
+++ b/libs/platform/tests/HttplibTransportTest.cpp
@@ -127,6 +127,20 @@
   CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
 }
 
+// Guards against one deadline being lost per kept connection when all of them go silent.
+TEST_CASE_FIXTURE(Fixture, "after one silent connection the others are not used again")
+{
+  HttplibTransport transport(address);
+  ObjectClient client(transport);
+  const auto watch = [&] { client.watch("config", Revision(0), in(400ms)); };
+  std::thread other(watch);
+  watch();
+  other.join();
+  server.silenceOpenConnections();
+  CHECK_THROWS_AS(client.get("config", "a", in(200ms)), Unavailable);
+  CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
+}
+
 // Guards against a value of the permitted size that the transport refuses.
 TEST_CASE_FIXTURE(Fixture, "values up to a megabyte pass")
 {
