--- a/libs/placement/include/placement/PlannerOptions.h
+++ b/libs/placement/include/placement/PlannerOptions.h
@@ -30,9 +30,10 @@
   // Limits for a shard count: a failure domain of eleven can be emptied within two steps.
   static PlannerOptions forShardCount(std::uint32_t shardCount);
 
-  // Load over mean above which a server gives shards away, 1.03 to 1.09. The upper end stays below
-  // the target of 1.10, so that noise in the load doesn't cross it.
-  double highMark() const { return 1.03 + 0.06 * churnWeight; }
+  // Load over mean above which a server gives shards away, 1.05 to 1.08. Below that range the size
+  // of a shard decides (at 256 shards and 20 servers one is 6% of a server's load); above it noise
+  // in the load crosses the target of 1.10.
+  double highMark() const { return 1.05 + 0.03 * churnWeight; }
   // Load over mean below which a server receives shards.
   double lowMark() const { return 2.0 - highMark(); }
 };
--- a/libs/placement/src/WorkingMap.cpp
+++ b/libs/placement/src/WorkingMap.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Part of the mean shard load that every shard counts at least: idle shards become busy one day.
-constexpr double kIdleShare = 0.02;
+constexpr double kIdleShare = 0.01;
 
 } // namespace
 
