Plan faster at large sizes

Cause: with many shards per server each move counted the successors of the receiving server anew through hash lookups (65,536 shards on 20 servers: 275 ms of CPU for a leaving server, 323 ms for a failure domain), and crowded successors were sought target by target (65,536 shards on 200 servers, nothing to do: 86 ms). Ruled out: a dense table of all pairs of servers, 16 MB at 2,000 servers. Change: successor lists per server kept during a step; the least count computed once per owner; sources without a shard that fits are skipped; the rendezvous score is computed only for ties; the tracker computes its exponential once per millisecond at most.

--- a/libs/placement/include/placement/HotKeyTracker.h
+++ b/libs/placement/include/placement/HotKeyTracker.h
@@ -53,6 +53,7 @@
   };
 
   double scaleAt(base::TimePoint now) const;
+  void updateScale();
   double rateFactor(base::TimePoint now) const;
   void startEpoch(base::TimePoint now);
   void insert(std::string_view key, double count);
@@ -64,6 +65,8 @@
   Options options_;
   base::TimePoint epoch_{};
   base::TimePoint latest_{};
+  base::TimePoint scaledAt_{};
+  double scale_ = 1.0;
   bool started_ = false;
   double total_ = 0;
   // Sized once, so that the string views of index_ stay valid.
--- a/libs/placement/src/BalanceMoves.cpp
+++ b/libs/placement/src/BalanceMoves.cpp
@@ -61,10 +61,17 @@
 std::optional<Choice> findFill(const WorkingMap& work, ServerIndex to, double limit)
 {
   const auto& live = work.liveServers();
+  const double lightest = work.lightestWeight();
+  if (work.utilization(to) + work.share(lightest, to) > limit) {
+    return std::nullopt;
+  }
   for (auto from = live.rbegin(); from != live.rend(); ++from) {
     if (from->first <= work.utilization(to) + kMinGain) {
       break;
     }
+    if (from->first - work.share(lightest, from->second) < work.options().lowMark()) {
+      continue;
+    }
     if (const auto choice = largestFitting(work, from->second, to, limit)) {
       return choice;
     }
--- a/libs/placement/src/HotKeyTracker.cpp
+++ b/libs/placement/src/HotKeyTracker.cpp
@@ -11,7 +11,10 @@
 
 // Counts are scaled up by e for each time constant since the start of the epoch. A new epoch starts
 // long before doubles lose precision or overflow.
-constexpr double kMaxEpochTimeConstants = 100;
+constexpr int kMaxEpochTimeConstants = 100;
+
+// The exponential is computed this often at most; its error is below the noise of counting.
+constexpr base::Duration kScaleInterval = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -37,15 +40,12 @@
   if (!started_) {
     epoch_ = now;
     latest_ = now;
+    scaledAt_ = now;
     started_ = true;
   }
   latest_ = std::max(latest_, now);
-  double scale = scaleAt(latest_);
-  if (scale > std::exp(kMaxEpochTimeConstants)) {
-    startEpoch(latest_);
-    scale = 1.0;
-  }
-  const double count = weight * scale;
+  updateScale();
+  const double count = weight * scale_;
   total_ += count;
   if (key.size() > options_.maxKeyBytes) {
     return;
@@ -100,6 +100,18 @@
   return std::exp(elapsed / std::chrono::duration<double>(options_.timeConstant).count());
 }
 
+void HotKeyTracker::updateScale()
+{
+  if (latest_ - scaledAt_ < kScaleInterval) {
+    return;
+  }
+  if (latest_ - epoch_ > kMaxEpochTimeConstants * options_.timeConstant) {
+    startEpoch(latest_);
+  }
+  scale_ = scaleAt(latest_);
+  scaledAt_ = latest_;
+}
+
 // A constant rate r settles at a decayed count of r times the time constant.
 double HotKeyTracker::rateFactor(base::TimePoint now) const
 {
--- a/libs/placement/src/SuccessorSpread.cpp
+++ b/libs/placement/src/SuccessorSpread.cpp
@@ -3,6 +3,7 @@
 #include "Rendezvous.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace sycamore::placement {
@@ -22,6 +23,7 @@
 void SuccessorSpread::reset(ServerIndex owner)
 {
   owner_ = owner;
+  fewest_.reset();
   std::ranges::fill(counts_, 0);
 }
 
@@ -29,6 +31,7 @@
 {
   if (successor != kNoServer) {
     ++counts_[successor.value()];
+    fewest_.reset();
   }
 }
 
@@ -36,6 +39,7 @@
 {
   if (successor != kNoServer) {
     --counts_[successor.value()];
+    fewest_.reset();
     --totals_[successor.value()];
   }
 }
@@ -43,17 +47,22 @@
 ServerIndex SuccessorSpread::choose(base::ShardId shard) const
 {
   ServerIndex best = kNoServer;
-  std::tuple<int, std::uint32_t, std::uint32_t, std::uint64_t> bestCost;
+  std::tuple<int, std::uint32_t, std::uint32_t> bestCost;
+  std::uint64_t bestScore = 0;
   for (const ServerIndex candidate : targets_) {
     if (candidate == owner_) {
       continue;
     }
     const std::uint32_t at = candidate.value();
+    const std::tuple cost(rank(candidate), counts_[at], totals_[at]);
+    if (best != kNoServer && cost > bestCost) {
+      continue;
+    }
     const std::uint64_t score = rendezvousScore(shard.value(), fleet_.hash(candidate));
-    const std::tuple cost(rank(candidate), counts_[at], totals_[at], ~score);
-    if (best == kNoServer || cost < bestCost) {
+    if (best == kNoServer || cost < bestCost || score > bestScore) {
       best = candidate;
       bestCost = cost;
+      bestScore = score;
     }
   }
   return best;
@@ -74,15 +83,20 @@
          std::ranges::any_of(targets_, [&](ServerIndex target) { return rank(target) == 0; });
 }
 
-bool SuccessorSpread::isCrowded(ServerIndex successor) const
+bool SuccessorSpread::isCrowded(ServerIndex successor)
 {
   if (successor == kNoServer || count(successor) < 2) {
     return false;
   }
-  return std::ranges::any_of(targets_, [&](ServerIndex target) {
-    return target != owner_ && rank(target) <= rank(successor) && rank(target) == 0 &&
-           count(target) + 2 <= count(successor);
-  });
+  if (!fewest_) {
+    fewest_ = std::numeric_limits<std::uint32_t>::max();
+    for (const ServerIndex target : targets_) {
+      if (target != owner_ && rank(target) == 0) {
+        fewest_ = std::min(*fewest_, count(target));
+      }
+    }
+  }
+  return *fewest_ < count(successor) - 1;
 }
 
 int SuccessorSpread::rank(ServerIndex candidate) const
--- a/libs/placement/src/SuccessorSpread.h
+++ b/libs/placement/src/SuccessorSpread.h
@@ -5,6 +5,7 @@
 #include <placement/ShardMap.h>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace sycamore::placement {
@@ -28,7 +29,7 @@
   // a warm server elsewhere exists.
   bool mustReplace(ServerIndex successor) const;
   // True when another server has at least two fewer of the owner's shards.
-  bool isCrowded(ServerIndex successor) const;
+  bool isCrowded(ServerIndex successor);
 
   std::uint32_t count(ServerIndex successor) const { return counts_[successor.value()]; }
   // Shards of all owners that a server succeeds; kept over reset().
@@ -43,6 +44,8 @@
   std::vector<std::uint32_t> counts_;
   std::vector<std::uint32_t> totals_;
   std::vector<ServerIndex> targets_;
+  // The least count among warm targets in other domains; computed when asked for.
+  std::optional<std::uint32_t> fewest_;
 };
 
 } // namespace sycamore::placement
--- a/libs/placement/src/WorkingMap.cpp
+++ b/libs/placement/src/WorkingMap.cpp
@@ -21,7 +21,7 @@
   , spread_(fleet_)
   , loads_(fleet_.size())
   , coldMoves_(fleet_.size())
-  , received_(fleet_.size())
+  , successors_(fleet_.size())
 {
   double total = 0;
   map().forEachShard(
@@ -31,6 +31,8 @@
   double weights = 0;
   map().forEachShard([&](base::ShardId shard, const ShardRow& row) {
     loads_[row.owner.value()] += weight(shard);
+    successors_[row.owner.value()].push_back(row.successor);
+    lightest_ = std::min(lightest_, weight(shard));
     // Shards that nobody may move don't count towards the mean of the others.
     weights += fleet_.role(row.owner) == Fleet::Role::Unknown ? 0 : weight(shard);
     if (row.successor != kNoServer) {
@@ -99,7 +101,9 @@
   }
   plan_.moves.push_back({ shard, map().server(from).id, map().server(to).id, named, reason });
   moved_.insert(shard);
-  received_[to.value()].push_back(successor);
+  std::vector<ServerIndex>& old = successors_[from.value()];
+  old.erase(std::ranges::find(old, map().row(shard).successor));
+  successors_[to.value()].push_back(successor);
   addLoad(from, -weight(shard));
   addLoad(to, weight(shard));
   coldMoves_[to.value()] += 1;
@@ -133,12 +137,7 @@
 ServerIndex WorkingMap::chooseSuccessor(base::ShardId shard, ServerIndex owner)
 {
   spread_.reset(owner);
-  for (const base::ShardId owned : map().shardsOf(owner)) {
-    if (!hasMoved(owned)) {
-      spread_.add(map().row(owned).successor);
-    }
-  }
-  for (const ServerIndex successor : received_[owner.value()]) {
+  for (const ServerIndex successor : successors_[owner.value()]) {
     spread_.add(successor);
   }
   const ServerIndex successor = spread_.choose(shard);
--- a/libs/placement/src/WorkingMap.h
+++ b/libs/placement/src/WorkingMap.h
@@ -7,6 +7,7 @@
 #include <placement/PlanRequest.h>
 #include <placement/PlannerOptions.h>
 
+#include <limits>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -34,6 +35,8 @@
 
   // Load of a shard plus a small constant, so that idle shards are spread too.
   double weight(base::ShardId shard) const;
+  // The least weight of any shard.
+  double lightestWeight() const { return lightest_; }
   // Load over capacity, in units of the mean over all servers that can take shards.
   double utilization(ServerIndex server) const;
   // A load in the units of utilization(server).
@@ -75,8 +78,9 @@
   std::vector<std::size_t> coldMoves_;
   std::unordered_set<base::ShardId> moved_;
   std::unordered_set<base::ShardId> pinned_;
-  // Successors of the shards that each server receives by this plan.
-  std::vector<std::vector<ServerIndex>> received_;
+  // Successors of the shards of each server after the moves so far, in no order.
+  std::vector<std::vector<ServerIndex>> successors_;
+  double lightest_ = std::numeric_limits<double>::max();
   std::size_t balanceMoves_ = 0;
   Plan plan_;
 };
