--- a/libs/ownership/include/ownership/LeaseTimings.h
+++ b/libs/ownership/include/ownership/LeaseTimings.h
@@ -29,7 +29,7 @@
 private:
   LeaseTimings() = default;
 
-  base::Duration renewalInterval_ = base::milliseconds(100);
+  base::Duration renewalInterval_ = base::milliseconds(80);
   base::Duration voteLifetime_ = base::milliseconds(300);
   base::Duration grantLifetime_ = base::milliseconds(500);
   base::Duration holderSilence_ = base::milliseconds(300);
--- a/libs/ownership/include/ownership/PermitTable.h
+++ b/libs/ownership/include/ownership/PermitTable.h
@@ -9,8 +9,8 @@
 
 namespace sycamore::ownership {
 
-// What the receiver of permits knows of the shard map: its generation, and which shards a server has
-// owned with the same successor since a generation or longer.
+// What the receiver of permits knows of the shard map: its generation, and which shards a server
+// has owned with the same successor since a generation or longer.
 template<typename T>
 concept OwnerView = requires(const T& view, const base::ServerId& server)
 {
--- a/libs/ownership/include/ownership/ServerRow.h
+++ b/libs/ownership/include/ownership/ServerRow.h
@@ -18,6 +18,8 @@
   ShardSet owned;
   // The owned shards by their recorded successor.
   std::map<base::ServerId, ShardSet> successors;
+  // Whether the server refuses lower terms (setting servers_check_tokens of the service).
+  bool checksTokens = true;
   // In order of preference.
   std::vector<base::VmId> voters;
 };
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -55,8 +55,8 @@
   // Gives the tenancy up, for a leaving entry VM. Other voters may take it over at once.
   TenancyActions resign(base::TimePoint now);
 
-  // The request to send now: a grant with the shards permitted in addition (PermitTable); none if the
-  // tenancy of this term is not held any more. While the server is evicted, a probe that grants
+  // The request to send now: a grant with the shards permitted in addition (PermitTable); none if
+  // the tenancy of this term is not held any more. While the server is evicted, a probe that grants
   // nothing. Call it immediately before sending.
   std::optional<GrantRequest> grantToSend(base::Term term,
                                           const ShardSet& permitted,
--- a/libs/ownership/include/ownership/VoteRequest.h
+++ b/libs/ownership/include/ownership/VoteRequest.h
@@ -26,6 +26,8 @@
   // The other voters of the receiver's set: a restarted receiver relearns from them.
   std::vector<base::VmId> peers;
   std::optional<FloorProof> proof;
+  // Copied from the row: without it a new holder has to wait until old grants have expired.
+  bool checksTokens = true;
   // The holder gives the tenancy up: the voter no longer protects it from higher terms.
   bool resign = false;
   // The holder's own time, echoed by the reply. Opaque to the voter.
--- a/libs/ownership/src/LeaseTimings.cpp
+++ b/libs/ownership/src/LeaseTimings.cpp
@@ -73,9 +73,8 @@
   require(timings_.driftSlack_ >= zero, "the drift slack must not be negative");
   require(timings_.voteLifetime_ >= 3 * timings_.renewalInterval_,
           "a vote must last at least three renewal intervals");
-  require(timings_.grantLifetime_ >= timings_.voteLifetime_ + timings_.renewalInterval_,
-          "a grant must outlast a vote by a renewal interval, or each change of holder stops the "
-          "server");
+  require(timings_.grantLifetime_ > timings_.voteLifetime_ + 2 * timings_.renewalInterval_,
+          "a grant must outlast a vote by more than two renewal intervals");
   return timings_;
 }
 
--- a/libs/ownership/src/TenancyVotes.h
+++ b/libs/ownership/src/TenancyVotes.h
@@ -80,6 +80,7 @@
   const ServerRow& used = request.kind == TenancyKind::Evicted ? permitRow_ : row_;
   request.generation = used.generation;
   request.rowGeneration = used.changed;
+  request.checksTokens = row_.checksTokens;
   request.floor = holds(now) ? floor_ : base::Generation();
   if (std::find(row_.voters.begin(), row_.voters.end(), voter) != row_.voters.end()) {
     std::copy_if(row_.voters.begin(),
--- a/libs/ownership/src/VoterImpl.h
+++ b/libs/ownership/src/VoterImpl.h
@@ -113,13 +113,14 @@
   const bool samePermits =
     request.kind == TenancyKind::Active || request.rowGeneration == known.rowGeneration;
   const bool sameExecutors = request.kind == known.kind && samePermits;
-  if (!sameExecutors && Rules::kWaitOutGrants) {
+  const bool sameRun = sameHolder(request.holder, known.holder);
+  const bool mustExpire = !sameExecutors || (!request.checksTokens && !sameRun);
+  if (mustExpire && Rules::kWaitOutGrants) {
     return known.until + timings_.waitFor(timings_.grantLifetime());
   }
   // A live holder keeps its tenancy: otherwise a voter that hears the others but not the holder
   // would take it away again and again.
-  const bool givenUp = known.resigned || sameHolder(request.holder, known.holder);
-  return givenUp ? base::TimePoint{} : known.until;
+  return known.resigned || sameRun ? base::TimePoint{} : known.until;
 }
 
 template<OwnershipRules Rules>
--- a/libs/ownership/tests/ModelTest.cpp
+++ b/libs/ownership/tests/ModelTest.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-std::uint64_t
-fromEnvironment(const char* name, std::uint64_t otherwise)
+std::uint64_t fromEnvironment(const char* name, std::uint64_t otherwise)
 {
   const char* text = std::getenv(name);
   return text ? std::strtoull(text, nullptr, 10) : otherwise;
--- a/libs/ownership/tests/ShardSetTest.cpp
+++ b/libs/ownership/tests/ShardSetTest.cpp
@@ -11,8 +11,7 @@
 
 namespace {
 
-ShardSet
-fromStd(const std::set<std::uint32_t>& shards)
+ShardSet fromStd(const std::set<std::uint32_t>& shards)
 {
   ShardSet result;
   for (const std::uint32_t shard : shards) {
@@ -21,11 +20,10 @@
   return result;
 }
 
-std::set<std::uint32_t>
-smallSet()
+std::set<std::uint32_t> smallSet()
 {
-  const auto items = *rc::gen::container<std::vector<std::uint32_t>>(
-    rc::gen::inRange<std::uint32_t>(0, 40));
+  const auto items =
+    *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 40));
   return { items.begin(), items.end() };
 }
 
--- a/libs/ownership/tests/model/Model.h
+++ b/libs/ownership/tests/model/Model.h
@@ -31,7 +31,8 @@
     for (int i = 0; i < vms; ++i) {
       runs_.push_back(1);
       pausedUntil_.push_back({});
-      vms_.push_back(std::make_unique<Vm>(i, 1, randomClock(), base::Duration{}, platform_.current()));
+      vms_.push_back(
+        std::make_unique<Vm>(i, 1, randomClock(), base::Duration{}, platform_.current()));
       startTimers(i);
     }
     for (int i = 0; i < servers; ++i) {
@@ -88,6 +89,14 @@
     servers_[server].frozenUntil = events_.now() + span;
   }
 
+  void loseServer(int server) { servers_[server].up = false; }
+
+  void loseVm(int vm)
+  {
+    vms_[vm].reset();
+    ++runs_[vm];
+  }
+
   void restartServer(int server, base::Duration down)
   {
     trace("s", server, " restarts");
@@ -175,7 +184,8 @@
       text << " s" << shard.owner << ">s" << shard.successor;
     }
     for (int server = 0; server < serverCount(); ++server) {
-      text << "\n  s" << server << ": highest term " << servers_[server].highestTerm() << ", voters";
+      text << "\n  s" << server << ": highest term " << servers_[server].highestTerm()
+           << ", voters";
       for (const base::VmId& voter : map->voters[server]) {
         text << ' ' << voter;
       }
@@ -218,7 +228,9 @@
       text << "; v" << vm << " down";
       return;
     }
-    static const char* const kRoles[] = { "watching", "proposing", "active", "evicting", "evicted" };
+    static const char* const kRoles[] = {
+      "watching", "proposing", "active", "evicting", "evicted"
+    };
     const auto& tenancy = vms_[vm]->seats[server].tenancy;
     text << "; v" << vm << ' ' << kRoles[static_cast<int>(tenancy.role())] << " term "
          << tenancy.term() << " map " << tenancy.row().generation;
@@ -234,7 +246,8 @@
     map->writer = "first";
     for (int i = 0; i < shards; ++i) {
       const int owner = i % servers;
-      map->shards.push_back({ owner, (owner + 1 + (i / servers) % (servers - 1)) % servers, base::Generation(1) });
+      map->shards.push_back(
+        { owner, (owner + 1 + (i / servers) % (servers - 1)) % servers, base::Generation(1) });
     }
     map->changed.assign(servers, base::Generation(1));
     for (int server = 0; server < servers; ++server) {
@@ -290,8 +303,9 @@
 
   void toServer(int from, int server, EventQueue::Event event)
   {
-    network_.send(
-      from, serverNode(server), [this, server, event = std::move(event)] { inServer(server, event); });
+    network_.send(from, serverNode(server), [this, server, event = std::move(event)] {
+      inServer(server, event);
+    });
   }
 
   void inServer(int server, EventQueue::Event event)
@@ -403,8 +417,18 @@
       if (permit) {
         toVm(vm, asker, run, [this, asker, successor, permit = *permit, askedAt] {
           vms_[asker]->permits.apply(permit, askedAt);
-          trace("v", asker, " gets permit for ", permit.shards.text(), " of ", permit.from, " to ",
-                permit.to, " term ", permit.term, " map ", permit.generation);
+          trace("v",
+                asker,
+                " gets permit for ",
+                permit.shards.text(),
+                " of ",
+                permit.from,
+                " to ",
+                permit.to,
+                " term ",
+                permit.term,
+                " map ",
+                permit.generation);
           const auto& tenancy = vms_[asker]->seats[successor].tenancy;
           sendGrant(asker, successor, tenancy.term());
         });
@@ -426,10 +450,26 @@
     const int to = Vm::number(action.to);
     toVm(vm, to, 0, [this, vm, to, server, run = runs_[vm], request = action.request] {
       const VoteReply reply = vms_[to]->voter.vote(request, local(to));
-      trace("v", to, " answers v", vm, " for s", server, " term ", request.term, " kind ",
-            static_cast<int>(request.kind), " map ", request.generation, " proof ",
-            request.proof.has_value(), ": ", static_cast<int>(reply.answer), ", highest ",
-            reply.highestTerm, " floor ", reply.floor);
+      trace("v",
+            to,
+            " answers v",
+            vm,
+            " for s",
+            server,
+            " term ",
+            request.term,
+            " kind ",
+            static_cast<int>(request.kind),
+            " map ",
+            request.generation,
+            " proof ",
+            request.proof.has_value(),
+            ": ",
+            static_cast<int>(reply.answer),
+            ", highest ",
+            reply.highestTerm,
+            " floor ",
+            reply.floor);
       if (reply.answer == VoteAnswer::Granted) {
         auto& tenancy = vms_[to]->seats[server].tenancy;
         if (request.resign) {
@@ -471,8 +511,18 @@
   void onGrant(int vm, int server, std::uint64_t run, const GrantRequest& request)
   {
     const GrantReply reply = servers_[server].grant(request, events_.now(), checker_);
-    trace("s", server, " gets term ", request.term, " of v", vm, " map ", request.generation, ": ",
-          request.shards ? request.shards->text() : "same", ", answer ", static_cast<int>(reply.reason));
+    trace("s",
+          server,
+          " gets term ",
+          request.term,
+          " of v",
+          vm,
+          " map ",
+          request.generation,
+          ": ",
+          request.shards ? request.shards->text() : "same",
+          ", answer ",
+          static_cast<int>(reply.reason));
     if (reply.accepted) {
       checkOverlap(server);
     }
@@ -487,7 +537,13 @@
   {
     toServer(vm, server, [this, vm, server, run = runs_[vm], request = action.request] {
       const ReleaseReply reply = servers_[server].release(request, events_.now());
-      trace("s", server, " releases ", request.shards.text(), " term ", request.term, ": ",
+      trace("s",
+            server,
+            " releases ",
+            request.shards.text(),
+            " term ",
+            request.term,
+            ": ",
             reply.released);
       network_.send(serverNode(server), vm, [this, vm, server, run, reply] {
         inVm(vm, run, [this, vm, server, reply] {
@@ -538,8 +594,16 @@
     if (action.kind == ChangeKind::Voters) {
       map->voters[server] = action.voters;
     }
-    trace("v", vm, " may write generation ", map->generation, " for s", server, ", kind ",
-          static_cast<int>(action.kind), ", shards ", action.shards.text());
+    trace("v",
+          vm,
+          " may write generation ",
+          map->generation,
+          " for s",
+          server,
+          ", kind ",
+          static_cast<int>(action.kind),
+          ", shards ",
+          action.shards.text());
     node.seats[server].write = typename Vm::Write{ action.base, map, events_.now() };
     retryWrite(vm, server);
   }
@@ -670,8 +734,16 @@
   {
     for (int other = 0; other < serverCount(); ++other) {
       if (other != server && servers_[other].mayExecute(shard, events_.now())) {
-        checker_.fail(
-          events_.now(), "s", server, " ", what, " shard ", shard, " while s", other, " may run it");
+        checker_.fail(events_.now(),
+                      "s",
+                      server,
+                      " ",
+                      what,
+                      " shard ",
+                      shard,
+                      " while s",
+                      other,
+                      " may run it");
       }
     }
   }
--- a/libs/ownership/tests/model/ModelServer.h
+++ b/libs/ownership/tests/model/ModelServer.h
@@ -33,7 +33,8 @@
     const GrantReply reply = register_.onGrant(request, clock_.at(real));
     if (reply.accepted) {
       if (request.term < lastTerm_) {
-        checker.fail(real, "term of s", index_, " went back from ", lastTerm_, " to ", request.term);
+        checker.fail(
+          real, "term of s", index_, " went back from ", lastTerm_, " to ", request.term);
       }
       lastTerm_ = request.term;
     }
--- a/libs/ownership/tests/model/Schedule.h
+++ b/libs/ownership/tests/model/Schedule.h
@@ -35,7 +35,8 @@
     if (!model_.checker().violation()) {
       model_.checkAcknowledged();
       for (const std::uint32_t shard : model_.unserved()) {
-        model_.checker().fail(model_.events().now(), "shard ", shard, " is not served", model_.describe());
+        model_.checker().fail(
+          model_.events().now(), "shard ", shard, " is not served", model_.describe());
       }
     }
     return { model_.checker().violation(), model_.commits(), model_.acknowledgedCount() };
@@ -51,7 +52,7 @@
     const double scale = model_.pick(3) / 2.0;
     model_.network().setWeather(
       { 0.05 * scale * model_.pick(3), 0.02 * scale * model_.pick(4), 0.02 * model_.pick(3) });
-    model_.setWorkerDelay(0.02 * model_.pick(4));
+    model_.setWorkerDelay(0.06 * model_.pick(4));
     model_.platform().setFaults(0.15 * model_.pick(3), 0.1 * model_.pick(4));
     for (int moves = model_.pick(12); moves > 0; --moves) {
       model_.events().at(milliseconds(1100 + model_.pick(4700)), [this] {
@@ -68,7 +69,7 @@
   {
     const int vm = model_.pick(model_.vmCount());
     const int server = model_.pick(model_.serverCount());
-    switch (model_.pick(18)) {
+    switch (model_.pick(20)) {
       case 0:
         return model_.pauseVm(vm, span(1800));
       case 1:
@@ -95,6 +96,10 @@
         return moveThenLoseHolder(server);
       case 12:
         return cutHolder(server);
+      case 13:
+        return moveThenLoseServer(server);
+      case 14:
+        return evictThenRestartVoter(server, vm);
       default:
         return model_.planMove(server, model_.pick(model_.serverCount()));
     }
@@ -133,6 +138,24 @@
     }
   }
 
+  // The write of the move stays in doubt while the server is given up.
+  void moveThenLoseServer(int server)
+  {
+    model_.planMove(server, model_.pick(model_.serverCount()));
+    model_.events().after(milliseconds(4 + model_.pick(20)), [this, server] {
+      model_.freezeServer(server, span(2000));
+      model_.platform().setOutage(model_.events().now() + span(1500));
+    });
+  }
+
+  void evictThenRestartVoter(int server, int vm)
+  {
+    cutHolder(server);
+    model_.platform().setOutage(model_.events().now() + span(2000));
+    model_.events().after(milliseconds(500 + model_.pick(600)),
+                          [this, vm] { model_.restartVm(vm, milliseconds(1)); });
+  }
+
   void calmDown()
   {
     model_.network().heal();
--- a/libs/ownership/tests/model/ScheduleRunner.h
+++ b/libs/ownership/tests/model/ScheduleRunner.h
@@ -20,8 +20,7 @@
 
 // Runs schedules on four threads until one fails or all seeds are used.
 template<OwnershipRules Rules>
-RunReport
-runSchedules(std::uint64_t firstSeed, std::uint64_t count)
+RunReport runSchedules(std::uint64_t firstSeed, std::uint64_t count)
 {
   RunReport report;
   std::mutex mutex;
--- /dev/null
+++ b/libs/ownership/tests/model/SmallWorld.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include <GrantRegisterImpl.h>
+#include <TenancyImpl.h>
+#include <VoterImpl.h>
+
+#include <array>
+#include <optional>
+#include <string>
+
+namespace sycamore::ownership::model {
+
+// Three voters, two candidates for one server, its successor with a fixed holder, and messages
+// without delay. A value: the exploration copies it at every branch.
+template<OwnershipRules Rules>
+class SmallWorld
+{
+public:
+  static constexpr int kChoices = 8;
+
+  SmallWorld()
+    : voters_{ makeVoter(0), makeVoter(1), makeVoter(2) }
+    , tenancies_{ makeTenancy(0), makeTenancy(1) }
+  {
+    run(base::milliseconds(2500));
+  }
+
+  bool granted() const { return servers_[0].mayExecute(base::ShardId(0), now_); }
+
+  // Changes the environment, or restarts something.
+  void choose(int choice)
+  {
+    switch (choice) {
+      case 1:
+      case 2:
+        serverCut_[choice - 1] = !serverCut_[choice - 1];
+        break;
+      case 3:
+      case 4:
+        isolated_[choice - 3] = !isolated_[choice - 3];
+        break;
+      case 5:
+        restartVm(2);
+        break;
+      case 6:
+      case 7:
+        restartVm(choice - 6);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void run(base::Duration span)
+  {
+    for (const base::TimePoint end = now_ + span; now_ < end && !violation_;) {
+      now_ += base::milliseconds(25);
+      for (int vm : { 0, 1 }) {
+        apply(vm, tenancies_[vm].tick(now_));
+      }
+      learn();
+      grantSuccessor();
+      check();
+    }
+  }
+
+  const std::optional<std::string>& violation() const { return violation_; }
+
+private:
+  static base::VmId name(int vm) { return base::VmId("v" + std::to_string(vm)); }
+  static LeaseTimings timings() { return LeaseTimings::Builder().build(); }
+
+  static ServerRow row(std::uint64_t generation)
+  {
+    ServerRow result;
+    result.server = base::ServerId("s0");
+    result.generation = base::Generation(generation);
+    result.changed = base::Generation(1);
+    result.owned = ShardSet::parse("0");
+    result.successors[base::ServerId("s1")] = result.owned;
+    result.voters = { name(0), name(1), name(2) };
+    return result;
+  }
+
+  HolderId self(int vm) const { return { name(vm), base::Incarnation(runs_[vm]) }; }
+  BasicVoter<Rules> makeVoter(int vm) const { return { self(vm), timings(), now_ }; }
+
+  BasicTenancy<Rules> makeTenancy(int vm) const
+  {
+    return { self(vm), timings(), row(generation_), now_ };
+  }
+
+  void restartVm(int vm)
+  {
+    ++runs_[vm];
+    voters_[vm] = makeVoter(vm);
+    if (vm < 2) {
+      tenancies_[vm] = makeTenancy(vm);
+    }
+  }
+
+  bool connected(int from, int to) const
+  {
+    const auto apart = [&](int vm) { return vm < 2 && isolated_[vm]; };
+    return from == to || (!apart(from) && !apart(to));
+  }
+
+  void apply(int vm, const TenancyActions& actions)
+  {
+    for (const TenancyAction& action : actions) {
+      std::visit([&](const auto& item) { perform(vm, item); }, action);
+    }
+  }
+
+  template<typename Action>
+  void perform(int, const Action&)
+  {
+  }
+
+  void perform(int vm, const SendVote& action)
+  {
+    const int to = std::stoi(action.to.value().substr(1));
+    if (!connected(vm, to)) {
+      return;
+    }
+    const VoteReply reply = voters_[to].vote(action.request, now_);
+    if (reply.answer == VoteAnswer::Granted && to < 2) {
+      tenancies_[to].onHolderSeen(action.request.holder, action.request.term, now_);
+    }
+    apply(vm, tenancies_[vm].onVoteReply(reply, now_));
+  }
+
+  void perform(int vm, const SendGrant& action)
+  {
+    const auto request = tenancies_[vm].grantToSend(action.term, {}, now_);
+    if (!request || serverCut_[vm]) {
+      return;
+    }
+    const GrantReply reply = servers_[0].onGrant(*request, now_);
+    apply(vm, tenancies_[vm].onGrantReply(reply, now_));
+  }
+
+  // The platform is always up for a bump; failover writes are left out.
+  void perform(int vm, const WriteBump& action)
+  {
+    const bool own = generation_ == action.base.value();
+    generation_ += own ? 1 : 0;
+    apply(vm, tenancies_[vm].onMap(row(generation_), now_));
+    if (own) {
+      tenancies_[vm].onBumpWritten(base::Generation(generation_), now_);
+    }
+  }
+
+  void learn()
+  {
+    for (int vm = 0; vm < 3; ++vm) {
+      for (const LearnRequest& request : voters_[vm].learnRequests(now_)) {
+        const int to = std::stoi(request.to.value().substr(1));
+        if (connected(vm, to)) {
+          voters_[vm].onLearnReply(voters_[to].answer(request));
+        }
+      }
+    }
+  }
+
+  // The successor's holder grants what it is permitted; its own tenancy never changes.
+  void grantSuccessor()
+  {
+    for (int vm : { 0, 1 }) {
+      const auto permit = tenancies_[vm].permitFor(base::ServerId("s1"), now_);
+      if (!permit || isolated_[vm]) {
+        continue;
+      }
+      GrantRequest request;
+      request.server = base::ServerId("s1");
+      request.term = base::Term(1);
+      request.echo = now_;
+      request.echoIncarnation = base::Incarnation(1);
+      request.lifetime = timings().grantLifetime();
+      request.shards = permit->shards;
+      request.setDigest = permit->shards.digest();
+      servers_[1].onGrant(request, now_);
+    }
+  }
+
+  void check()
+  {
+    if (granted() && servers_[1].mayExecute(base::ShardId(0), now_)) {
+      violation_ = "server and successor may both run the shard";
+    }
+    if (tenancies_[0].mayDispatch(now_) && tenancies_[1].mayDispatch(now_)) {
+      violation_ = "two holders may dispatch";
+    }
+  }
+
+  base::TimePoint now_{ std::chrono::seconds(10) };
+  std::uint64_t generation_ = 1;
+  std::array<std::uint64_t, 3> runs_{ 1, 1, 1 };
+  std::array<BasicVoter<Rules>, 3> voters_;
+  std::array<BasicTenancy<Rules>, 2> tenancies_;
+  std::array<BasicGrantRegister<Rules>, 2> servers_{
+    BasicGrantRegister<Rules>{ base::ServerId("s0"), base::Incarnation(1), now_ },
+    BasicGrantRegister<Rules>{ base::ServerId("s1"), base::Incarnation(1), now_ }
+  };
+  std::array<bool, 2> serverCut_{};
+  std::array<bool, 2> isolated_{};
+  std::optional<std::string> violation_;
+};
+
+} // namespace sycamore::ownership::model
