--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -652,10 +652,8 @@
 {
   std::vector<HeldTenancy> list;
   for (const auto& [server, managed] : managed_) {
-    const TenancyRole role = managed->tenancy.role();
-    if (role == TenancyRole::Active || role == TenancyRole::Evicting ||
-        role == TenancyRole::Evicted) {
-      const bool evicted = role == TenancyRole::Evicted;
+    if (managed->tenancy.holds(context_.now())) {
+      const bool evicted = managed->tenancy.role() == TenancyRole::Evicted;
       list.push_back({ server,
                        managed->service,
                        managed->tenancy.term(),
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -55,8 +55,8 @@
   // Gives the tenancy up, for a leaving entry VM. Other voters may take it over at once.
   TenancyActions resign(base::TimePoint now);
 
-  // The request to send now: a grant with the shards permitted in addition (PermitTable); none if the
-  // tenancy of this term is not held any more. While the server is evicted, a probe that grants
+  // The request to send now: a grant with the shards permitted in addition (PermitTable); none if
+  // the tenancy of this term is not held any more. While the server is evicted, a probe that grants
   // nothing. Call it immediately before sending.
   std::optional<GrantRequest> grantToSend(base::Term term,
                                           const ShardSet& permitted,
@@ -66,6 +66,9 @@
   // Until when mayDispatch() stays true without further votes; the epoch if it is false. For
   // traffic threads, which check it right before they send.
   base::TimePoint mayDispatchUntil() const;
+  // Whether this VM has the tenancy, as Active or Evicted. Heartbeats name only such tenancies: the
+  // role alone may be out of date after a pause.
+  bool holds(base::TimePoint now) const;
   // Permits for the holder of the successor; empty unless Evicted. Call it only when that holder
   // asks: whether the successors ask decides about reinstating the server.
   std::optional<Permit> permitFor(const base::ServerId& successor, base::TimePoint now);
@@ -110,7 +113,6 @@
   void useVoters();
   // State in short.
   TenancyKind kind() const;
-  bool holds(base::TimePoint now) const;
   bool isVoter() const;
   bool needsNewTerm(TenancyKind kind) const;
   ShardSet shardsToGrant(const ShardSet& permitted) const;
