Return cooled keys by their certain rate and obey a lowered limit

Cause: a cooled key that one VM still lists gets the missing rates of the other VMs added, which can keep it above the mark; overrides beyond a lowered limit stayed. Change: overrides are ranked by certain rate; the coolest ones beyond the limit go home.

--- a/libs/placement/src/HotKeyPolicy.cpp
+++ b/libs/placement/src/HotKeyPolicy.cpp
@@ -31,13 +31,14 @@
   return decision;
 }
 
-// The overrides of the map with their rates, coolest first.
+// The overrides of the map with their certain rates, coolest first. The overestimate would keep a
+// key that one VM still lists above the mark by the missing rates of all others.
 std::vector<HotKeyPolicy::Ranked> HotKeyPolicy::rankOverrides(const ShardMap& map,
                                                               const HotKeySummary& summary) const
 {
   std::unordered_map<base::Key, double> rates;
   for (const HotKeySummary::Entry& entry : summary.entries) {
-    rates.emplace(entry.key, entry.rate);
+    rates.emplace(entry.key, entry.certainRate());
   }
   std::vector<Ranked> ranked;
   for (const KeyOverride& hot : map.overrides()) {
@@ -99,6 +100,11 @@
   // Places that cooled keys are about to free.
   std::size_t returning = decision.cooled.size();
   auto coolest = overrides.begin();
+  // The configured number may have been lowered below what is in use.
+  for (std::size_t used = overrides.size(); used > options_.maxOverrides; --used) {
+    decision.cooled.push_back(coolest->key);
+    ++coolest;
+  }
   for (const Ranked& key : hot) {
     if (free > 0) {
       decision.hot.push_back(key.key);
--- a/libs/placement/tests/HotKeyTest.cpp
+++ b/libs/placement/tests/HotKeyTest.cpp
@@ -132,6 +132,29 @@
   CHECK(decision.cooled == std::vector{ Key("b") });
 }
 
+// Guards against overrides beyond a limit that operators lowered.
+TEST_CASE("a lowered limit sends the coolest overrides home at once")
+{
+  World world(20, 256);
+  world.step(std::vector{ Key("a"), Key("b"), Key("c") });
+  HotKeyPolicy policy({ .maxOverrides = 1 });
+  const HotKeySummary summary{ 1000, 0, { entry("b", 9), entry("c", 8), entry("a", 7) } };
+  CHECK(policy.decide(world.map, summary, 20, kStart).cooled == std::vector{ Key("a"), Key("c") });
+}
+
+// Guards against a cooled key that never returns because the VMs' tables are full of keys like it.
+TEST_CASE("a key seen by one VM is not kept hot by the missing rates of the others")
+{
+  World world(20, 256);
+  const std::vector<Key> split{ Key("k") };
+  world.step(split);
+  HotKeySummary summary{ 1000, 0, { entry("k", 0.2) } };
+  summary = merge(summary, HotKeySummary{ 9000, 50, {} }, 10);
+  HotKeyPolicy policy;
+  policy.decide(world.map, summary, 20, kStart);
+  CHECK(policy.decide(world.map, summary, 20, kStart + 31s).cooled == split);
+}
+
 // Guards against hot sets that change within minutes filling the map with cooled keys.
 TEST_CASE("260 hot keys that change every two minutes are followed within the limit")
 {
