Measure admission: stragglers, cold start, slots, shared back-off

Ruled out: choosing by an entry VM's own observations alone. A restart seen only in the grant answer: requests sent in the meantime exceeded the cold limit. Change: work may name its longest wait, beyond which the holder refuses it as not run, so that another server is tried; the holder counts the age of running requests as a sign of a slow server. After a broken attempt the server gets the cold limit until its next grant is answered. The recovery time doubles only if the limit came back in between. ServerGate has one back-off gate per server; the queue keeps its deadlines in order. The shared gate is kept for the load it saves on a failing server.

--- /dev/null
+++ b/libs/admission/benchmarks/Slots.cpp
@@ -0,0 +1,230 @@
+#include "Measurements.h"
+
+#include <admission/ServerGate.h>
+#include <quality/EventLoop.h>
+
+#include <algorithm>
+#include <random>
+#include <unordered_map>
+
+namespace sycamore::quality {
+
+namespace {
+
+using namespace std::chrono_literals;
+using admission::GateAction;
+using admission::WorkId;
+using requests::Outcome;
+using requests::Reason;
+
+constexpr auto kTotal = 30s;
+
+// A server that runs everything it gets until it is done, cancelled or at its deadline, and
+// restarts now and then. Its dispatcher gives up on some requests early, because their callers left
+// or their connections broke, and asks the server to cancel some of these.
+class AbandonedServer
+{
+public:
+  AbandonedServer(const Scenario& scenario, bool holdsSlots, std::uint64_t seed)
+    : scenario_(scenario)
+    , holdsSlots_(holdsSlots)
+    , random_(seed)
+    , start_(loop_.now())
+    , gate_(settings(scenario), start_)
+  {
+  }
+
+  // Requests that arrived while all slots of the server were taken.
+  std::uint64_t run()
+  {
+    grant();
+    arrive();
+    loop_.after(3s, [this] { restart(); });
+    loop_.runUntil(start_ + kTotal + 1s);
+    return exceeded_;
+  }
+
+private:
+  struct Run
+  {
+    base::TimePoint deadline;
+    std::uint64_t incarnation = 0;
+    bool open = true;
+  };
+
+  static admission::ServerGateSettings settings(const Scenario& scenario)
+  {
+    admission::ServerGateSettings settings;
+    settings.slots = scenario.slots;
+    settings.coldStart.assumedLatency = scenario.service;
+    settings.coldStart.ramp = 500ms;
+    return settings;
+  }
+
+  void grant()
+  {
+    const base::TimePoint sentAt = loop_.now();
+    loop_.after(scenario_.hop, [this, sentAt] {
+      granted_ = incarnation_;
+      const admission::ServerReport report{ base::Incarnation(incarnation_),
+                                            admission::ReportedState::Warm,
+                                            sentAt };
+      loop_.after(scenario_.hop,
+                  [this, report] { apply(gate_.serverChanged(report, loop_.now())); });
+    });
+    loop_.after(100ms, [this] { grant(); });
+  }
+
+  // The connections of the old process break; the new one needs a grant before it runs anything.
+  void restart()
+  {
+    ++incarnation_;
+    running_ = 0;
+    for (const auto& [work, run] : runs_) {
+      loop_.after(scenario_.hop, [this, id = work] { giveUp(id); });
+    }
+    loop_.after(3s, [this] { restart(); });
+  }
+
+  void arrive()
+  {
+    if (loop_.now() >= start_ + kTotal) {
+      return;
+    }
+    const WorkId work(++nextWork_);
+    const auto patience = std::chrono::milliseconds(10 + random_() % 300);
+    deadlines_[work] = loop_.now() + patience;
+    apply(gate_.enqueue({ work, "caller", deadlines_[work], 100, false }, loop_.now()));
+    const double capacity =
+      scenario_.slots / std::chrono::duration<double>(scenario_.service).count();
+    loop_.after(drawGap(1.2 * capacity, random_), [this] { arrive(); });
+  }
+
+  void apply(const admission::GateActions& actions)
+  {
+    for (const GateAction& action : actions) {
+      if (action.kind == GateAction::Kind::Dispatch) {
+        dispatch(action.work);
+      }
+    }
+    if (const auto next = gate_.nextWakeUp(loop_.now())) {
+      loop_.at(std::max(*next, loop_.now() + 1us), [this] { wake(); });
+    }
+  }
+
+  void wake()
+  {
+    const admission::GateActions actions = gate_.wake(loop_.now());
+    if (!actions.empty()) {
+      apply(actions);
+    }
+  }
+
+  void dispatch(WorkId work)
+  {
+    loop_.after(scenario_.hop, [this, work] { receive(work); });
+    if (random_() % 20 == 0) {
+      const auto early = std::chrono::microseconds(random_() % 6000);
+      loop_.after(early, [this, work] { giveUp(work); });
+    }
+  }
+
+  void receive(WorkId work)
+  {
+    if (granted_ != incarnation_) {
+      loop_.after(scenario_.hop, [this, work] {
+        answer(work, { Outcome::NotRun, Reason::NotOwner });
+      });
+      return;
+    }
+    exceeded_ += running_ >= scenario_.slots ? 1 : 0;
+    ++running_;
+    runs_[work] = { deadlines_[work], incarnation_, true };
+    // One in fifty takes very long.
+    const int factor = random_() % 50 == 0 ? 50 : 1;
+    const base::TimePoint end = loop_.now() + factor * drawService(scenario_, random_);
+    loop_.at(std::min(end, std::max(deadlines_[work], loop_.now())), [this, work] { ended(work); });
+  }
+
+  void ended(WorkId work)
+  {
+    const auto run = runs_.find(work);
+    if (run == runs_.end()) {
+      return;
+    }
+    const bool lost = run->second.incarnation != incarnation_;
+    running_ -= lost ? 0 : 1;
+    runs_.erase(run);
+    if (!lost) {
+      loop_.after(scenario_.hop, [this, work] { answer(work, { Outcome::Ran, Reason::None }); });
+    }
+  }
+
+  void answer(WorkId work, const requests::Classification& result)
+  {
+    if (!givenUp_.contains(work)) {
+      apply(gate_.finished({ work, result }, loop_.now()));
+    }
+  }
+
+  void giveUp(WorkId work)
+  {
+    if (!givenUp_.emplace(work, true).second) {
+      return;
+    }
+    if (!holdsSlots_) {
+      apply(gate_.cancelConfirmed(work, loop_.now()));
+      return;
+    }
+    apply(gate_.abandoned(work, loop_.now()));
+    if (random_() % 2 == 0) {
+      loop_.after(scenario_.hop, [this, work] { cancel(work); });
+    }
+  }
+
+  // The server confirms only what it runs: a request still on its way would arrive afterwards.
+  void cancel(WorkId work)
+  {
+    if (runs_.contains(work)) {
+      ended(work);
+      loop_.after(scenario_.hop, [this, work] { apply(gate_.cancelConfirmed(work, loop_.now())); });
+    }
+  }
+
+  const Scenario& scenario_;
+  bool holdsSlots_;
+  std::mt19937_64 random_;
+  EventLoop loop_;
+  base::TimePoint start_;
+  admission::ServerGate gate_;
+  std::unordered_map<WorkId, base::TimePoint> deadlines_;
+  std::unordered_map<WorkId, Run> runs_;
+  std::unordered_map<WorkId, bool> givenUp_;
+  std::uint64_t nextWork_ = 0;
+  std::uint64_t incarnation_ = 1;
+  std::uint64_t granted_ = 0;
+  unsigned running_ = 0;
+  std::uint64_t exceeded_ = 0;
+};
+
+} // namespace
+
+void measureSlots(QualityReport& report, const Scenario& scenario)
+{
+  std::uint64_t exceeded = 0;
+  std::uint64_t baseline = 0;
+  for (int run = 0; run < report.runs(); ++run) {
+    const std::uint64_t seed = report.seed() + static_cast<std::uint64_t>(run);
+    exceeded += AbandonedServer(scenario, true, seed).run();
+    baseline += AbandonedServer(scenario, false, seed).run();
+  }
+  report.add({ "slots_exceeded",
+               scenario.name,
+               static_cast<double>(exceeded),
+               "requests",
+               0,
+               "slot freed when given up",
+               static_cast<double>(baseline) });
+}
+
+} // namespace sycamore::quality
--- /dev/null
+++ b/libs/admission/benchmarks/StragglerFleet.cpp
@@ -0,0 +1,234 @@
+#include "StragglerFleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <string>
+
+namespace sycamore::quality {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kWarmUp = 2s;
+constexpr auto kMeasured = 10s;
+constexpr int kSlowFactor = 10;
+constexpr int kTries = 4;
+// One mean service time: two more hops to a free server cost less than a longer wait.
+constexpr base::Duration kLongestWait = 4ms;
+
+} // namespace
+
+StragglerFleet::StragglerFleet(const Scenario& scenario, const StragglerSetup& setup)
+  : scenario_(scenario)
+  , setup_(setup)
+  , random_(setup.seed)
+  , vms_(static_cast<std::size_t>(scenario.entryVms))
+  , servers_(static_cast<std::size_t>(setup.servers))
+{
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    ids_.emplace_back(std::to_string(i));
+  }
+  for (Server& server : servers_) {
+    admission::ServerGateSettings settings;
+    settings.slots = scenario.slots;
+    settings.queue.maxLength = 1000;
+    server.gate = std::make_unique<admission::ServerGate>(settings, loop_.now());
+    server.gate->serverChanged(
+      { base::Incarnation(1), admission::ReportedState::Warm, loop_.now() }, loop_.now());
+  }
+  for (EntryVm& vm : vms_) {
+    vm.inFlight.resize(servers_.size());
+    vm.next = random_() % servers_.size();
+    for (const base::ServerId& id : ids_) {
+      vm.picker.add(id);
+    }
+  }
+}
+
+std::vector<double> StragglerFleet::run()
+{
+  end_ = loop_.now() + kWarmUp + kMeasured;
+  arrive();
+  changeStragglers();
+  loop_.runUntil(end_ + 1s);
+  return std::move(latencies_);
+}
+
+void StragglerFleet::arrive()
+{
+  if (loop_.now() >= end_) {
+    return;
+  }
+  const double capacity =
+    setup_.servers * scenario_.slots / std::chrono::duration<double>(scenario_.service).count();
+  auto request = std::make_shared<Request>();
+  request->vm = random_() % vms_.size();
+  request->sentAt = loop_.now();
+  request->first = choose(vms_[request->vm], nullptr);
+  send(request, request->first, 1);
+  if (setup_.policy == Policy::HedgedPicker) {
+    planHedge(request);
+  }
+  loop_.after(drawGap(setup_.load * capacity, random_), [this] { arrive(); });
+}
+
+void StragglerFleet::changeStragglers()
+{
+  std::vector<std::size_t> order(servers_.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::shuffle(order.begin(), order.end(), random_);
+  order.resize(static_cast<std::size_t>(
+    setup_.slowShare > 0 ? std::max(1.0, std::round(setup_.slowShare * setup_.servers)) : 0.0));
+  for (const std::size_t server : order) {
+    servers_[server].slow = true;
+  }
+  loop_.after(500ms, [this, order] {
+    for (const std::size_t server : order) {
+      servers_[server].slow = false;
+    }
+  });
+  loop_.after(1s, [this] { changeStragglers(); });
+}
+
+std::size_t StragglerFleet::choose(EntryVm& vm, const std::size_t* except)
+{
+  if (setup_.policy == Policy::RoundRobin) {
+    return vm.next++ % servers_.size();
+  }
+  if (setup_.policy == Policy::LeastConnections) {
+    return leastConnections(vm);
+  }
+  const base::ServerId* const left = except != nullptr ? &ids_[*except] : nullptr;
+  return std::stoul(vm.picker.pick(loop_.now(), random_, left)->value());
+}
+
+std::size_t StragglerFleet::leastConnections(const EntryVm& vm)
+{
+  const std::size_t offset = random_() % servers_.size();
+  std::size_t best = offset;
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    const std::size_t server = (i + offset) % servers_.size();
+    best = vm.inFlight[server] < vm.inFlight[best] ? server : best;
+  }
+  return best;
+}
+
+void StragglerFleet::send(const RequestPtr& request, std::size_t server, int tries)
+{
+  const Attempt attempt{ request, admission::WorkId(++nextWork_), server, tries };
+  EntryVm& vm = vms_[request->vm];
+  ++vm.inFlight[server];
+  vm.picker.noteSent(ids_[server], attempt.work, loop_.now());
+  loop_.after(scenario_.hop, [this, attempt] {
+    if (usesGate()) {
+      enqueue(attempt);
+    } else {
+      servers_[attempt.server].queue.push_back(attempt);
+      serve(attempt.server);
+    }
+  });
+}
+
+bool StragglerFleet::usesGate() const
+{
+  return setup_.policy == Policy::Picker || setup_.policy == Policy::HedgedPicker;
+}
+
+// Three holders may pass the request on when its wait there would be long; the fourth keeps it.
+void StragglerFleet::enqueue(const Attempt& attempt)
+{
+  waiting_[attempt.work] = attempt;
+  const auto longest = attempt.tries < kTries ? kLongestWait : base::Duration::max();
+  Server& server = servers_[attempt.server];
+  apply(server.gate->enqueue(
+    { attempt.work, std::to_string(attempt.request->vm), loop_.now() + 10s, 100, false, longest },
+    loop_.now()));
+}
+
+void StragglerFleet::apply(const admission::GateActions& actions)
+{
+  for (const admission::GateAction& action : actions) {
+    const auto found = waiting_.find(action.work);
+    const Attempt attempt = found->second;
+    waiting_.erase(found);
+    if (action.kind == admission::GateAction::Kind::Dispatch) {
+      start(attempt);
+    } else {
+      loop_.after(scenario_.hop,
+                  [this, attempt, wait = action.retryAfter] { tryNext(attempt, wait); });
+    }
+  }
+}
+
+void StragglerFleet::tryNext(const Attempt& attempt, base::Duration wait)
+{
+  EntryVm& vm = vms_[attempt.request->vm];
+  --vm.inFlight[attempt.server];
+  vm.picker.noteFinished(ids_[attempt.server], attempt.work, false, loop_.now());
+  vm.picker.noteOverloaded(ids_[attempt.server], wait, loop_.now());
+  send(attempt.request, choose(vm, &attempt.server), attempt.tries + 1);
+}
+
+void StragglerFleet::planHedge(const RequestPtr& request)
+{
+  const auto at = vms_[request->vm].hedges.hedgeAt(true, request->sentAt, request->sentAt + 1s);
+  if (!at) {
+    return;
+  }
+  loop_.at(*at, [this, request] {
+    if (!request->done && vms_[request->vm].hedges.tryHedge(loop_.now())) {
+      send(request, choose(vms_[request->vm], &request->first), 1);
+    }
+  });
+}
+
+// The baselines' queue without limit. A queued attempt whose request was answered elsewhere is
+// cancelled; a running one goes on.
+void StragglerFleet::serve(std::size_t index)
+{
+  Server& server = servers_[index];
+  while (server.busy < scenario_.slots && !server.queue.empty()) {
+    const Attempt attempt = server.queue.front();
+    server.queue.pop_front();
+    start(attempt);
+  }
+}
+
+void StragglerFleet::start(const Attempt& attempt)
+{
+  Server& server = servers_[attempt.server];
+  ++server.busy;
+  const base::Duration took = drawService(scenario_, random_) * (server.slow ? kSlowFactor : 1);
+  loop_.after(took, [this, attempt] {
+    Server& done = servers_[attempt.server];
+    --done.busy;
+    if (usesGate()) {
+      apply(done.gate->finished(
+        { attempt.work, { requests::Outcome::Ran, requests::Reason::None } }, loop_.now()));
+    } else {
+      serve(attempt.server);
+    }
+    loop_.after(scenario_.hop, [this, attempt] { ended(attempt); });
+  });
+}
+
+void StragglerFleet::ended(const Attempt& attempt)
+{
+  const base::TimePoint now = loop_.now();
+  EntryVm& vm = vms_[attempt.request->vm];
+  --vm.inFlight[attempt.server];
+  vm.picker.noteFinished(ids_[attempt.server], attempt.work, true, now);
+  if (attempt.request->done) {
+    return;
+  }
+  attempt.request->done = true;
+  const base::Duration latency = now - attempt.request->sentAt;
+  vm.hedges.noteSuccess(latency, now);
+  if (attempt.request->sentAt >= end_ - kMeasured) {
+    latencies_.push_back(std::chrono::duration<double, std::milli>(latency).count());
+  }
+}
+
+} // namespace sycamore::quality
--- a/libs/admission/include/admission/BackoffGate.h
+++ b/libs/admission/include/admission/BackoffGate.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <base/Random.h>
 #include <base/Time.h>
 #include <requests/Backoff.h>
 
@@ -33,17 +32,8 @@
 
   // The server refused the request as overloaded or cold, or the connection failed. The server's
   // Retry-After hint lengthens the wait. Failures of requests sent before the gate closed don't.
-  template<base::RandomSource Random>
-  void noteFailure(std::optional<base::Duration> hint, base::TimePoint now, Random& random)
-  {
-    if (failures_ > 0 && !probing_) {
-      return;
-    }
-    ++failures_;
-    probing_ = false;
-    const base::Duration wait = backoff_.delay(failures_, hint, random);
-    closedUntil_ = now + std::max(wait, backoff_.ceiling(failures_) / 2);
-  }
+  // There is no jitter: one dispatcher sends to the server.
+  void noteFailure(std::optional<base::Duration> hint, base::TimePoint now);
 
 private:
   requests::Backoff backoff_;
--- a/libs/admission/include/admission/FairQueue.h
+++ b/libs/admission/include/admission/FairQueue.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <list>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,7 +33,7 @@
 struct PushResult
 {
   bool queued = false;
-  // Why not: it cannot be served before its deadline, as opposed to lack of room.
+  // Why not: it would wait too long, as opposed to lack of room.
   bool tooLate = false;
   // Estimated wait until there is room, for Retry-After.
   base::Duration retryAfter{};
@@ -50,7 +51,8 @@
   FairQueue(const FairQueue&) = delete;
   FairQueue& operator=(const FairQueue&) = delete;
 
-  // Adds work, unless by the estimate it would not be finished before its deadline.
+  // Adds work, unless by the estimate it would not be finished before its deadline, or would wait
+  // longer than it may.
   PushResult push(QueuedWork work, const DrainEstimate& estimate, base::TimePoint now);
 
   // The next work in turn whose deadline has not passed, left in the queue; null if there is none.
@@ -94,6 +96,7 @@
   // Flows with work, in the order of their turns.
   Flows flows_;
   std::unordered_map<std::string, Flows::iterator> byName_;
+  std::multiset<base::TimePoint> deadlines_;
   std::size_t length_ = 0;
   std::size_t bytes_ = 0;
 };
--- a/libs/admission/include/admission/ServerGate.h
+++ b/libs/admission/include/admission/ServerGate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <admission/BackoffGate.h>
 #include <admission/ColdStartLimiter.h>
 #include <admission/FairQueue.h>
 #include <admission/GateAction.h>
@@ -20,6 +21,10 @@
   ColdStartSettings coldStart;
   // A server may go on this long after a request's deadline; the slot is held so long.
   base::Duration endMargin = base::milliseconds(50);
+  // One back-off for all requests to the server after failures; none if not set. Its cap is short:
+  // each wait costs one probe, but delays everything once the server is back.
+  std::optional<requests::BackoffSettings> backoff =
+    requests::BackoffSettings{ .cap = base::milliseconds(100) };
 };
 
 // The end of an attempt whose end is certain.
@@ -98,13 +103,17 @@
 
   void proceed(GateActions& actions, base::TimePoint now);
   bool slotFor(const QueuedWork& work) const;
+  std::optional<base::TimePoint> nextDispatch(base::TimePoint now) const;
+  bool mayDispatch(const QueuedWork& work, base::TimePoint now) const;
+  void learnRefusal(requests::Reason reason, base::TimePoint now);
+  unsigned concurrency() const;
   void dispatch(const QueuedWork& work, GateActions& actions, base::TimePoint now);
   void offer(QueuedWork work, GateActions& actions, base::TimePoint now);
   void refuseQueued(requests::Reason reason, GateActions& actions);
   void learn(const Attempt& attempt, const requests::Classification& result, base::TimePoint now);
   void end(WorkId work);
   void endBeforeRestart();
-  DrainEstimate estimate() const;
+  DrainEstimate estimate(base::TimePoint now) const;
   requests::Reason pressure() const;
   requests::Reason closed() const;
 
@@ -112,8 +121,12 @@
   SlotGate slots_;
   FairQueue queue_;
   ColdStartLimiter limiter_;
+  std::optional<BackoffGate> backoff_;
   std::unordered_map<WorkId, Attempt> attempts_;
   std::optional<base::Incarnation> incarnation_;
+  // When an attempt broke off or was refused as by a process without a grant. The server may have
+  // restarted: until a grant sent later is answered, it gets the cold limit.
+  std::optional<base::TimePoint> doubtedSince_;
   // Nothing sent earlier runs on the present incarnation.
   base::TimePoint restartedAt_{};
   double serviceNanos_;
--- a/libs/admission/include/admission/ServerPicker.h
+++ b/libs/admission/include/admission/ServerPicker.h
@@ -21,7 +21,7 @@
   std::size_t choices = 32;
   // Time after which a slow observation has lost half of its weight, so that a server is tried
   // again.
-  base::Duration halfLife = base::milliseconds(100);
+  base::Duration halfLife = base::milliseconds(200);
   // Expected latency of a server without observations.
   base::Duration initialLatency = base::milliseconds(1);
 };
@@ -58,6 +58,9 @@
   // It ended. `counts` is false if its latency says nothing, e.g. for a refusal or a cancellation.
   void noteFinished(const base::ServerId& server, WorkId work, bool counts, base::TimePoint now);
 
+  // The server's holder refused work as overloaded and named the wait.
+  void noteOverloaded(const base::ServerId& server, base::Duration wait, base::TimePoint now);
+
 private:
   struct Sent
   {
--- a/libs/admission/src/BackoffGate.cpp
+++ b/libs/admission/src/BackoffGate.cpp
@@ -33,4 +33,14 @@
   probing_ = false;
 }
 
+void BackoffGate::noteFailure(std::optional<base::Duration> hint, base::TimePoint now)
+{
+  if (failures_ > 0 && !probing_) {
+    return;
+  }
+  ++failures_;
+  probing_ = false;
+  closedUntil_ = now + backoff_.longest(failures_, hint);
+}
+
 } // namespace sycamore::admission
--- a/libs/admission/src/ColdStartLimiter.cpp
+++ b/libs/admission/src/ColdStartLimiter.cpp
@@ -122,12 +122,16 @@
   samples_ = 0;
 }
 
-// An overload soon after the last one shows that the limit came back too fast.
+// An overload soon after the last one shows that the limit came back too fast, but only if it came
+// back in between: a server that refuses everything, or that a neighbour slows for a moment, says
+// nothing of the limit.
 void ColdStartLimiter::fallBack(double share, base::TimePoint now)
 {
-  if (share_ >= 1) {
-    const bool soon = now - lastFallBack_ < 4 * recovery_;
-    recovery_ = soon ? std::min(2 * recovery_, settings_.ramp) : settings_.recovery;
+  const base::Duration since = now - lastFallBack_;
+  if (since >= 4 * recovery_) {
+    recovery_ = settings_.recovery;
+  } else if (since >= kFallBackInterval && lastAdvance_ > lastFallBack_) {
+    recovery_ = std::min(2 * recovery_, settings_.ramp);
   }
   share_ = std::min(share_, share);
   lastFallBack_ = now;
--- a/libs/admission/src/FairQueue.cpp
+++ b/libs/admission/src/FairQueue.cpp
@@ -13,7 +13,7 @@
 {
   PushResult result;
   const base::Duration wait = estimate.perItem * static_cast<std::int64_t>(position(work.flow) + 1);
-  if (now + wait + estimate.serviceTime > work.deadline) {
+  if (now + wait + estimate.serviceTime > work.deadline || wait > work.longestWait) {
     result.tooLate = true;
     result.retryAfter = wait;
     return result;
@@ -56,6 +56,9 @@
 std::vector<QueuedWork> FairQueue::takeExpired(base::TimePoint now)
 {
   std::vector<QueuedWork> expired;
+  if (deadlines_.empty() || *deadlines_.begin() > now) {
+    return expired;
+  }
   for (auto flow = flows_.begin(); flow != flows_.end();) {
     const auto current = flow++;
     for (std::size_t rest = current->work.size(), i = 0; rest > 0; --rest) {
@@ -96,13 +99,7 @@
 
 std::optional<base::TimePoint> FairQueue::nextDeadline() const
 {
-  std::optional<base::TimePoint> next;
-  for (const Flow& flow : flows_) {
-    for (const QueuedWork& work : flow.work) {
-      next = next ? std::min(*next, work.deadline) : work.deadline;
-    }
-  }
-  return next;
+  return deadlines_.empty() ? std::nullopt : std::optional(*deadlines_.begin());
 }
 
 std::size_t FairQueue::lengthOf(const std::string& flow) const
@@ -156,6 +153,7 @@
     found = byName_.emplace(work.flow, flow).first;
   }
   ++length_;
+  deadlines_.insert(work.deadline);
   bytes_ += work.bytes;
   found->second->work.push_back(std::move(work));
 }
@@ -165,6 +163,7 @@
   QueuedWork taken = std::move(*work);
   flow->work.erase(work);
   --length_;
+  deadlines_.erase(deadlines_.find(taken.deadline));
   bytes_ -= taken.bytes;
   if (flow->work.empty()) {
     byName_.erase(flow->name);
--- a/libs/admission/src/ServerGate.cpp
+++ b/libs/admission/src/ServerGate.cpp
@@ -24,6 +24,7 @@
   , slots_(settings.slots)
   , queue_(settings.queue)
   , limiter_(settings.coldStart, settings.slots, now)
+  , backoff_(settings.backoff ? std::optional(BackoffGate(*settings.backoff)) : std::nullopt)
   , serviceNanos_(static_cast<double>(settings.coldStart.assumedLatency.count()))
 {
 }
@@ -59,6 +60,10 @@
   GateActions actions;
   if (const auto attempt = attempts_.find(work); attempt != attempts_.end()) {
     attempt->second.abandoned = true;
+    doubtedSince_ = now;
+    if (backoff_) {
+      backoff_->noteNothing();
+    }
     limiter_.noteUnanswered(now - attempt->second.sentAt, now);
     slots_.abandon(work, attempt->second.deadline + settings_.endMargin);
     endBeforeRestart();
@@ -91,6 +96,9 @@
     endBeforeRestart();
   }
   incarnation_ = report.incarnation;
+  if (doubtedSince_ && report.grantSentAt >= *doubtedSince_) {
+    doubtedSince_.reset();
+  }
   limiter_.noteReport(report.incarnation, report.state, now);
   draining_ = report.state == ReportedState::Draining;
   if (draining_) {
@@ -135,7 +143,9 @@
   }
   const QueuedWork* const front = queue_.front(now);
   if (front != nullptr && granted_ && slotFor(*front)) {
-    consider(std::max(now, limiter_.nextDispatch(now)));
+    if (const auto dispatch = nextDispatch(now)) {
+      consider(*dispatch);
+    }
   }
   return next;
 }
@@ -155,8 +165,7 @@
   for (const QueuedWork& work : queue_.takeExpired(now)) {
     actions.push_back(refusal(work.id, Reason::Expired));
   }
-  for (const QueuedWork* front = queue_.front(now);
-       front != nullptr && granted_ && slotFor(*front) && limiter_.nextDispatch(now) <= now;
+  for (const QueuedWork* front = queue_.front(now); front != nullptr && mayDispatch(*front, now);
        front = queue_.front(now)) {
     dispatch(*queue_.pop(now), actions, now);
   }
@@ -167,7 +176,29 @@
   if (aloneInFlight_ > 0 || (work.alone && slots_.held() > 0)) {
     return false;
   }
-  return slots_.held() < std::min(slots_.slots(), limiter_.concurrency());
+  return slots_.held() < concurrency();
+}
+
+// When rate and back-off allow the next dispatch; nothing while the back-off waits for its probe.
+std::optional<base::TimePoint> ServerGate::nextDispatch(base::TimePoint now) const
+{
+  const base::TimePoint paced = std::max(now, limiter_.nextDispatch(now));
+  if (!backoff_ || backoff_->open(now)) {
+    return paced;
+  }
+  const auto opening = backoff_->nextOpening();
+  return opening ? std::optional(std::max(paced, *opening)) : std::nullopt;
+}
+
+bool ServerGate::mayDispatch(const QueuedWork& work, base::TimePoint now) const
+{
+  return granted_ && slotFor(work) && nextDispatch(now) == now;
+}
+
+unsigned ServerGate::concurrency() const
+{
+  const unsigned limit = std::min(slots_.slots(), limiter_.concurrency());
+  return doubtedSince_ ? std::min(limit, std::max(1U, settings_.coldStart.coldLimit)) : limit;
 }
 
 void ServerGate::dispatch(const QueuedWork& work, GateActions& actions, base::TimePoint now)
@@ -179,6 +210,9 @@
   attempts_[work.id] = { now, work.deadline, work.alone };
   aloneInFlight_ += work.alone ? 1 : 0;
   limiter_.noteDispatch(now);
+  if (backoff_) {
+    backoff_->noteSent();
+  }
   actions.push_back({ GateAction::Kind::Dispatch, work.id, Reason::None, {} });
 }
 
@@ -186,14 +220,15 @@
 // server that looks too slow would never get the request that shows that it is not.
 void ServerGate::offer(QueuedWork work, GateActions& actions, base::TimePoint now)
 {
-  if (queue_.empty() && granted_ && slotFor(work) && limiter_.nextDispatch(now) <= now) {
+  if (queue_.empty() && mayDispatch(work, now)) {
     dispatch(work, actions, now);
     return;
   }
   const WorkId id = work.id;
-  const PushResult pushed = queue_.push(std::move(work), estimate(), now);
+  const DrainEstimate drain = estimate(now);
+  const PushResult pushed = queue_.push(std::move(work), drain, now);
   for (const QueuedWork& displaced : pushed.displaced) {
-    actions.push_back(refusal(displaced.id, pressure(), estimate().perItem));
+    actions.push_back(refusal(displaced.id, pressure(), drain.perItem));
   }
   if (!pushed.queued) {
     actions.push_back(refusal(id, pressure(), pushed.retryAfter));
@@ -216,7 +251,25 @@
     limiter_.noteSuccess(latency, now);
     serviceNanos_ += (static_cast<double>(latency.count()) - serviceNanos_) * kServiceWeight;
   } else if (result.outcome == Outcome::NotRun) {
-    limiter_.noteRefusal(result.reason, now);
+    learnRefusal(result.reason, now);
+    return;
+  }
+  if (backoff_) {
+    backoff_->noteSuccess();
+  }
+}
+
+void ServerGate::learnRefusal(Reason reason, base::TimePoint now)
+{
+  limiter_.noteRefusal(reason, now);
+  const bool lost = reason == Reason::NotOwner || reason == Reason::ConnectionLost;
+  if (lost) {
+    doubtedSince_ = now;
+  }
+  if (backoff_ && (lost || reason == Reason::Overloaded || reason == Reason::Cold)) {
+    backoff_->noteFailure(std::nullopt, now);
+  } else if (backoff_) {
+    backoff_->noteNothing();
   }
 }
 
@@ -243,10 +296,16 @@
   }
 }
 
-DrainEstimate ServerGate::estimate() const
+// A running attempt that takes longer than the mean shows a slow server before its answer does.
+DrainEstimate ServerGate::estimate(base::TimePoint now) const
 {
-  const unsigned parallel = std::max(1U, std::min(slots_.slots(), limiter_.concurrency()));
-  const base::Duration service(static_cast<base::Duration::rep>(serviceNanos_));
+  base::Duration service(static_cast<base::Duration::rep>(serviceNanos_));
+  for (const auto& [work, attempt] : attempts_) {
+    if (!attempt.abandoned) {
+      service = std::max(service, now - attempt.sentAt);
+    }
+  }
+  const unsigned parallel = std::max(1U, concurrency());
   return { service / parallel, service };
 }
 
--- a/libs/admission/src/ServerPicker.cpp
+++ b/libs/admission/src/ServerPicker.cpp
@@ -81,6 +81,16 @@
   }
 }
 
+void ServerPicker::noteOverloaded(const base::ServerId& server,
+                                  base::Duration wait,
+                                  base::TimePoint now)
+{
+  if (Server* const known = find(server)) {
+    known->fastNanos = std::max(expectedLatency(*known, now), nanosOf(wait));
+    known->observedAt = now;
+  }
+}
+
 void ServerPicker::observe(Server& server, double latencyNanos, base::TimePoint now) const
 {
   const double expected = expectedLatency(server, now);
--- a/libs/requests/include/requests/Backoff.h
+++ b/libs/requests/include/requests/Backoff.h
@@ -37,6 +37,12 @@
     return std::max(base::Duration(spread(random)), cappedHint(hint));
   }
 
+  // The longest wait, with the server's hint.
+  base::Duration longest(unsigned attemptsMade, std::optional<base::Duration> hint) const
+  {
+    return std::max(ceiling(attemptsMade), cappedHint(hint));
+  }
+
 private:
   base::Duration cappedHint(std::optional<base::Duration> hint) const;
 
