--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -236,10 +236,9 @@
   if (view.bodyLength() != std::optional<std::size_t>(0)) {
     discardBody(view);
   }
-  if (result.retryAfter) {
-    const auto millis = std::chrono::ceil<std::chrono::milliseconds>(*result.retryAfter);
-    response.setHeader(kRetryAfterMsHeader, std::to_string(millis.count()));
-  }
+  const auto hint =
+    std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter.value_or(base::Duration()));
+  response.setHeader(kRetryAfterMsHeader, std::to_string(hint.count()));
   sendRefusal(response,
               id,
               result.verdict,
