Keep header values as callers sent them

Cause: cpp-httplib decodes %XX in header values on receipt, so a key such as a%20b changed at the entry VM and again at each hop, and could hash to another shard. Change: the server puts the raw values back before the request is handled; a test with five keys. Result: the test fails without the change for the keys with a valid escape, and passes with it.

--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -11,7 +11,9 @@
 #include <charconv>
 #include <condition_variable>
 #include <httplib.h>
+#include <map>
 #include <netinet/tcp.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -102,6 +104,39 @@
   return std::nullopt;
 }
 
+// cpp-httplib decodes %XX in header values on receipt, so that a key would change at each hop. Puts
+// the values back as they were sent.
+void restoreHeaderValues(httplib::Request& request, const std::string& rawHead)
+{
+  if (rawHead.find('%') == std::string::npos) {
+    return;
+  }
+  std::istringstream lines(rawHead);
+  std::string line;
+  std::getline(lines, line);
+  std::map<std::string, std::size_t> seen;
+  while (std::getline(lines, line) && line != "\r") {
+    const auto colon = line.find(':');
+    const auto begin = line.find_first_not_of(" \t", colon + 1);
+    const auto end = line.find_last_not_of(" \t\r");
+    if (colon == std::string::npos || begin == std::string::npos) {
+      continue;
+    }
+    const std::string name = line.substr(0, colon);
+    const std::string value = line.substr(begin, end - begin + 1);
+    const std::size_t index = seen[name]++;
+    if (value.find('%') == std::string::npos) {
+      continue;
+    }
+    auto [first, last] = request.headers.equal_range(name);
+    for (std::size_t i = 0; first != last; ++first, ++i) {
+      if (i == index) {
+        first->second = value;
+      }
+    }
+  }
+}
+
 class RequestView : public ServerRequest
 {
 public:
@@ -546,8 +581,9 @@
     // A head that can't be parsed leaves the position in the stream unknown.
     bool headParsed = false;
     const bool processed =
-      process_request(stream, current.draining, closedByRequest, [&](httplib::Request&) {
+      process_request(stream, current.draining, closedByRequest, [&](httplib::Request& request) {
         stream.clearHeadDeadline();
+        restoreHeaderValues(request, stream.rawHead());
         headParsed = true;
       });
     stream.setDiscardWrites(false);
--- a/libs/transport/src/SocketStream.cpp
+++ b/libs/transport/src/SocketStream.cpp
@@ -50,6 +50,7 @@
   headDeadline_ = deadline;
   readingHead_ = true;
   headBytes_ = 0;
+  rawHead_.clear();
 }
 
 void SocketStream::clearHeadDeadline()
@@ -115,6 +116,7 @@
     if (isHeadTooLarge()) {
       return -1;
     }
+    rawHead_.append(buffer_.data() + readBegin_, count);
   }
   std::memcpy(data, buffer_.data() + readBegin_, count);
   readBegin_ += count;
--- a/libs/transport/src/SocketStream.h
+++ b/libs/transport/src/SocketStream.h
@@ -27,6 +27,9 @@
   void setHeadDeadline(base::TimePoint deadline);
   void clearHeadDeadline();
 
+  // The bytes of the last head as they were received.
+  const std::string& rawHead() const { return rawHead_; }
+
   // Whether the last head was longer than a head may be.
   bool isHeadTooLarge() const { return headBytes_ > kMaxHeadBytes; }
 
@@ -52,6 +55,7 @@
   base::TimePoint headDeadline_ = base::TimePoint::max();
   bool readingHead_ = false;
   std::size_t headBytes_ = 0;
+  std::string rawHead_;
   bool discardWrites_ = false;
   std::size_t readBegin_ = 0;
   std::size_t readEnd_ = 0;
--- a/libs/transport/tests/HttpServerTest.cpp
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -220,6 +220,20 @@
   CHECK(response.body == "body");
 }
 
+// Guards against a key that changes at each hop: cpp-httplib decodes %XX in header values.
+TEST_CASE("header values arrive as they were sent")
+{
+  Fixture fixture([](ServerRequest& request, ServerResponse& response) {
+    response.send(200, request.header("Sycamore-Key").value_or(""), "text/plain");
+  });
+  for (const char* key : { "a%20b%25", "plain", "50%", "%zz", "%2525" }) {
+    ClientRequest request;
+    request.path = "/";
+    request.headers = { { "Sycamore-Key", key }, { "Other", "x%41" } };
+    CHECK(fixture.pool.fetch(fixture.bound.toString(), request, inSeconds(10)).body == key);
+  }
+}
+
 // Guards against unbounded memory for a request head.
 TEST_CASE("an oversized head is refused with 431")
 {
