Record in the map when shards and servers last changed

Cause: permits for the shards of an evicted server stopped counting as soon as the map had any newer generation, and every generation made the row of every server look changed, because the map didn't say what a generation had changed. One move anywhere could leave the shards of a lost server unserved.

Ruled out: deriving both by comparing adopted maps on each VM, since a restarted VM or one that skips a generation has nothing to compare with.

Change: ShardMap::since(shard) and MapServer::changed, kept by ShardMapBuilder by comparison with the map it started from. Splits and merges also renew the home shard, because a permit for it from before a merge says nothing about the key that came back. JSON rows gain the generation, and the codec refuses values above the map's own. rowOf and ServiceShards::ownedSince use them. A server that the map no longer names counts as changed in the newest generation.

--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -20,6 +20,8 @@
 
 namespace sycamore::control {
 
+class ServiceShards;
+
 // What the ownership controller needs of the other parts of the control state.
 class OwnershipEvents
 {
@@ -96,7 +98,6 @@
 
 private:
   struct Managed;
-  struct ServiceShards;
 
   void perform(Managed& managed, const ownership::TenancyActions& actions);
   void act(Managed& managed, const ownership::SendVote& action);
--- a/libs/control/src/ManagedServer.h
+++ b/libs/control/src/ManagedServer.h
@@ -34,23 +34,4 @@
   ownership::ShardSet accepted;
 };
 
-// The shards of each server of one service's map; the view against which permits are checked.
-struct OwnershipController::ServiceShards
-{
-  std::shared_ptr<const placement::ShardMap> map;
-  std::map<base::ServerId, ownership::ShardSet> owned;
-
-  base::Generation generation() const { return map->generation(); }
-
-  // Shards that the server has owned with the same successor since the generation.
-  ownership::ShardSet ownedSince(const base::ServerId& server, base::Generation since) const
-  {
-    const auto found = owned.find(server);
-    return found == owned.end() || since < generation() ? ownership::ShardSet() : found->second;
-  }
-};
-
-// What a map says about one server, in the form that tenancies use.
-ownership::ServerRow rowOf(const placement::ShardMap& map, const base::ServerId& server);
-
 } // namespace sycamore::control
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -1,6 +1,7 @@
 #include <control/OwnershipController.h>
 
 #include "ManagedServer.h"
+#include "ServiceShards.h"
 
 #include <control/PeerCodec.h>
 
@@ -53,24 +54,6 @@
 
 } // namespace
 
-ownership::ServerRow rowOf(const placement::ShardMap& map, const ServerId& server)
-{
-  ownership::ServerRow row;
-  row.server = server;
-  row.generation = map.generation();
-  row.changed = map.generation();
-  for (const base::ShardId shard : map.shardsOf(server)) {
-    row.owned.insert(shard);
-    if (const ServerId* successor = map.successor(shard)) {
-      row.successors[*successor].insert(shard);
-    }
-  }
-  if (const auto* entry = map.find(server)) {
-    row.voters = entry->voters;
-  }
-  return row;
-}
-
 OwnershipController::OwnershipController(ControlContext& context,
                                          OwnershipEvents& events,
                                          ownership::LeaseTimings timings,
@@ -118,12 +101,9 @@
                                 const configuration::ServiceConfig& config)
 {
   const TimePoint now = context_.now();
-  auto& shards = services_[config.service];
-  shards = std::make_unique<ServiceShards>();
-  shards->map = map;
+  services_[config.service] = std::make_unique<ServiceShards>(map);
   for (const auto& server : map->servers()) {
     ownership::ServerRow row = rowOf(*map, server.id);
-    shards->owned[server.id] = row.owned;
     const bool isVoter =
       std::find(row.voters.begin(), row.voters.end(), context_.self.vm) != row.voters.end();
     Managed* managed = find(server.id);
--- /dev/null
+++ b/libs/control/tests/ServiceShardsTest.cpp
@@ -0,0 +1,93 @@
+#include "../src/ServiceShards.h"
+
+#include <placement/ShardMapBuilder.h>
+
+#include <doctest/doctest.h>
+
+using namespace sycamore::control;
+using sycamore::base::DomainId;
+using sycamore::base::Generation;
+using sycamore::base::ServerId;
+using sycamore::base::ServiceId;
+using sycamore::base::ShardId;
+using sycamore::base::VmId;
+using sycamore::placement::ServerEntry;
+using sycamore::placement::ShardMap;
+using sycamore::placement::ShardMapBuilder;
+
+namespace {
+
+const ServerId kFirst("layout-1");
+const ServerId kSecond("layout-2");
+const ServerId kThird("layout-3");
+
+ShardMap original()
+{
+  ShardMapBuilder builder(ServiceId("layout"), 4);
+  for (const ServerId& server : { kFirst, kSecond, kThird }) {
+    builder.setServer(server, { "127.0.0.1:9", DomainId("a"), { VmId("vm-1") } });
+  }
+  for (std::uint32_t shard = 0; shard < 4; ++shard) {
+    builder.assign(ShardId(shard), shard < 2 ? kFirst : kSecond, kThird);
+  }
+  return builder.setGeneration(Generation(1)).build();
+}
+
+ShardMap reassigned(const ShardMap& map,
+                    ShardId shard,
+                    const ServerId& owner,
+                    const ServerId& successor)
+{
+  ShardMapBuilder builder(map);
+  builder.assign(shard, owner, successor);
+  return builder.setGeneration(Generation(map.generation().value() + 1)).build();
+}
+
+ServiceShards viewOf(const ShardMap& map)
+{
+  return ServiceShards(std::make_shared<const ShardMap>(map));
+}
+
+} // namespace
+
+// Guards against shards of a lost server that stay unserved because some other shard moved after
+// the permit was given.
+TEST_CASE("a newer map keeps the permits of shards that it doesn't change")
+{
+  const ShardMap map = reassigned(original(), ShardId(3), kThird, kFirst);
+  CHECK(viewOf(map).ownedSince(kFirst, Generation(1)).text() == "0-1");
+}
+
+// Guards against two owners: a successor may have got the shard by a write and passed it on, even
+// back to the lost server.
+TEST_CASE("a shard that left and came back is not owned since before")
+{
+  const ShardMap left = reassigned(original(), ShardId(0), kThird, kFirst);
+  const ShardMap back = reassigned(left, ShardId(0), kFirst, kThird);
+  CHECK(viewOf(back).ownedSince(kFirst, Generation(2)).text() == "1");
+  CHECK(viewOf(back).ownedSince(kFirst, Generation(3)).text() == "0-1");
+}
+
+// Guards against a permit that counts for a successor that was replaced.
+TEST_CASE("a shard with another successor is not owned since before")
+{
+  const ShardMap map = reassigned(original(), ShardId(0), kFirst, kSecond);
+  CHECK(viewOf(map).ownedSince(kFirst, Generation(1)).text() == "1");
+}
+
+// Guards against a map change elsewhere that makes voters ask for permits and votes anew.
+TEST_CASE("a server's row is changed only by generations that change it")
+{
+  const ShardMap map = reassigned(original(), ShardId(3), kThird, kFirst);
+  CHECK(rowOf(map, kFirst).generation == Generation(2));
+  CHECK(rowOf(map, kFirst).changed == Generation(1));
+  CHECK(rowOf(map, kSecond).changed == Generation(2));
+  CHECK(rowOf(map, kThird).changed == Generation(2));
+}
+
+// Guards against a row of a removed server that seems older than its last shards.
+TEST_CASE("a server that the map doesn't name has changed in the newest generation")
+{
+  const ShardMap map = reassigned(original(), ShardId(3), kThird, kFirst);
+  CHECK(rowOf(map, ServerId("layout-9")).changed == Generation(2));
+}
--- a/libs/placement/include/placement/MapServer.h
+++ b/libs/placement/include/placement/MapServer.h
@@ -10,6 +10,8 @@
 {
   base::ServerId id;
   ServerEntry entry;
+  // The last generation that changed the server's shards, their successors or its voters.
+  base::Generation changed{};
 
   friend bool operator==(const MapServer&, const MapServer&) = default;
 };
--- a/libs/placement/include/placement/ShardMap.h
+++ b/libs/placement/include/placement/ShardMap.h
@@ -46,6 +46,9 @@
   const base::ServerId& owner(base::ShardId shard) const;
   // Null when the shard has no successor.
   const base::ServerId* successor(base::ShardId shard) const;
+  // The generation since which the shard has had its owner, its successor and the same overrides
+  // split out of it.
+  base::Generation since(base::ShardId shard) const { return row(shard).since; }
   const MapServer& ownerOfKey(const base::Key& key) const;
 
   // Sorted by id.
--- a/libs/placement/include/placement/ShardMapBuilder.h
+++ b/libs/placement/include/placement/ShardMapBuilder.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,7 +41,14 @@
                                const std::optional<base::ServerId>& successor);
   ShardMapBuilder& removeOverride(base::ShardId shard);
 
-  // Checks that every shard has an owner and that all names are known.
+  // For maps that are read: build() takes these as given, where it would otherwise name the
+  // generation that is built.
+  ShardMapBuilder& recordSince(base::ShardId shard, base::Generation since);
+  ShardMapBuilder& recordChanged(const base::ServerId& server, base::Generation changed);
+
+  // Compares with the map that the builder started from, so that ShardRow::since and
+  // MapServer::changed stay where nothing changes. Checks that every shard has an owner and that
+  // all names are known.
   ShardMap build() const;
 
   // True for keys that an override can hold: 1 to 512 bytes of valid UTF-8, because the map is
@@ -53,12 +61,31 @@
     base::ServerId id;
     ServerEntry entry;
     bool removed = false;
+    // Generation 0 stands for the one that is built, here and in the rows.
+    base::Generation changed{};
+    std::vector<base::VmId> votersBefore{};
+  };
+  // What differs from the map that the builder started from.
+  struct Changes
+  {
+    std::set<base::ShardId> shards;
+    std::vector<bool> servers;
   };
 
   ServerIndex known(const base::ServerId& server) const;
   ShardRow makeRow(const base::ServerId& owner,
                    const std::optional<base::ServerId>& successor) const;
-  std::vector<ServerIndex> sortedOrder(ShardMap& map) const;
+  ShardRow* findRow(base::ShardId shard);
+  std::optional<KeyOverride> unitAt(base::ShardId shard) const;
+  void touch(base::ShardId shard);
+  Changes findChanges() const;
+  void noteChange(Changes& changes,
+                  base::ShardId shard,
+                  const std::optional<KeyOverride>& before,
+                  const std::optional<KeyOverride>& after) const;
+  void noteHome(Changes& changes, const KeyOverride& hot) const;
+  base::Generation sinceOf(base::ShardId shard, const ShardRow& row, const Changes& changes) const;
+  std::vector<ServerIndex> sortedOrder(ShardMap& map, const Changes& changes) const;
   ShardRow translate(const ShardRow& row, const std::vector<ServerIndex>& order) const;
 
   base::ServiceId service_;
@@ -68,6 +95,10 @@
   std::unordered_map<base::ServerId, ServerIndex> index_;
   std::vector<ShardRow> rows_;
   std::map<base::ShardId, KeyOverride> overrides_;
+  // The shards and overrides touched, as they were in the map that the builder started from; those
+  // of shards have an empty key. Absent overrides are empty.
+  std::map<base::ShardId, std::optional<KeyOverride>> before_;
+  bool startedFromMap_ = false;
 };
 
 } // namespace sycamore::placement
--- a/libs/placement/include/placement/ShardRow.h
+++ b/libs/placement/include/placement/ShardRow.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <base/StrongType.h>
+#include <base/Ids.h>
 
 #include <cstdint>
 #include <limits>
@@ -13,11 +13,14 @@
 // Stands for "no successor", which occurs only in maps with a single usable server.
 inline constexpr ServerIndex kNoServer{ std::numeric_limits<std::uint32_t>::max() };
 
-// Owner and successor of a shard by their positions.
+// Owner and successor of a shard by their positions, and since when.
 struct ShardRow
 {
   ServerIndex owner = kNoServer;
   ServerIndex successor = kNoServer;
+  // The generation since which the shard has had this owner, this successor and the same overrides
+  // split out of it.
+  base::Generation since{};
 
   friend bool operator==(const ShardRow&, const ShardRow&) = default;
 };
--- a/libs/placement/src/ShardMapBuilder.cpp
+++ b/libs/placement/src/ShardMapBuilder.cpp
@@ -1,6 +1,7 @@
 #include <placement/ShardMapBuilder.h>
 
 #include "Utf8.h"
+#include <base/KeyHash.h>
 #include <placement/PlacementError.h>
 
 #include <algorithm>
@@ -34,10 +35,11 @@
   , generation_(map.generation())
   , writer_(map.writer())
   , rows_(map.rows_)
+  , startedFromMap_(true)
 {
   for (const MapServer& server : map.servers()) {
     index_.emplace(server.id, ServerIndex(static_cast<std::uint32_t>(servers_.size())));
-    servers_.push_back({ server.id, server.entry, false });
+    servers_.push_back({ server.id, server.entry, false, server.changed, server.entry.voters });
   }
   for (const KeyOverride& hot : map.overrides()) {
     overrides_.emplace_hint(overrides_.end(), hot.shard, hot);
@@ -65,9 +67,11 @@
   const auto [at, added] =
     index_.emplace(server, ServerIndex(static_cast<std::uint32_t>(servers_.size())));
   if (added) {
-    servers_.push_back({ server, std::move(entry), false });
+    servers_.push_back({ server, std::move(entry) });
   } else {
-    servers_[at->second.value()] = { server, std::move(entry), false };
+    Server& known = servers_[at->second.value()];
+    known.entry = std::move(entry);
+    known.removed = false;
   }
   return *this;
 }
@@ -82,16 +86,14 @@
                                          const base::ServerId& owner,
                                          const std::optional<base::ServerId>& successor)
 {
-  const ShardRow row = makeRow(owner, successor);
-  if (shard.value() < rows_.size()) {
-    rows_[shard.value()] = row;
-    return *this;
-  }
-  const auto at = overrides_.find(shard);
-  if (at == overrides_.end()) {
+  const ShardRow assigned = makeRow(owner, successor);
+  ShardRow* row = findRow(shard);
+  if (!row) {
     throw PlacementError("no shard " + std::to_string(shard.value()));
   }
-  at->second.row = row;
+  touch(shard);
+  row->owner = assigned.owner;
+  row->successor = assigned.successor;
   return *this;
 }
 
@@ -116,17 +118,42 @@
   if (shard.value() < rows_.size()) {
     throw PlacementError("the index " + std::to_string(shard.value()) + " is a shard's");
   }
-  if (!overrides_.emplace(shard, KeyOverride{ key, shard, makeRow(owner, successor) }).second) {
+  if (overrides_.contains(shard)) {
     throw PlacementError("the index " + std::to_string(shard.value()) + " is taken");
   }
+  ShardRow row = makeRow(owner, successor);
+  touch(shard);
+  if (const auto before = before_.find(shard); before != before_.end() && before->second) {
+    row.since = before->second->row.since;
+  }
+  overrides_.emplace(shard, KeyOverride{ key, shard, row });
   return *this;
 }
 
 ShardMapBuilder& ShardMapBuilder::removeOverride(base::ShardId shard)
 {
-  if (overrides_.erase(shard) == 0) {
+  if (!overrides_.contains(shard)) {
     throw PlacementError("no override " + std::to_string(shard.value()));
   }
+  touch(shard);
+  overrides_.erase(shard);
+  return *this;
+}
+
+ShardMapBuilder& ShardMapBuilder::recordSince(base::ShardId shard, base::Generation since)
+{
+  ShardRow* row = findRow(shard);
+  if (!row) {
+    throw PlacementError("no shard " + std::to_string(shard.value()));
+  }
+  row->since = since;
+  return *this;
+}
+
+ShardMapBuilder& ShardMapBuilder::recordChanged(const base::ServerId& server,
+                                                base::Generation changed)
+{
+  servers_[known(server).value()].changed = changed;
   return *this;
 }
 
@@ -136,10 +163,12 @@
   map.service_ = service_;
   map.generation_ = generation_;
   map.writer_ = writer_;
-  const std::vector<ServerIndex> order = sortedOrder(map);
+  const Changes changes = findChanges();
+  const std::vector<ServerIndex> order = sortedOrder(map, changes);
   map.rows_.reserve(rows_.size());
-  for (const ShardRow& row : rows_) {
-    map.rows_.push_back(translate(row, order));
+  for (std::uint32_t i = 0; i < rows_.size(); ++i) {
+    map.rows_.push_back(translate(rows_[i], order));
+    map.rows_.back().since = sinceOf(base::ShardId(i), rows_[i], changes);
   }
   std::set<std::string_view> keys;
   for (const auto& [shard, hot] : overrides_) {
@@ -148,6 +177,7 @@
                            " is split out twice");
     }
     map.overrides_.push_back({ hot.key, shard, translate(hot.row, order) });
+    map.overrides_.back().row.since = sinceOf(shard, hot.row, changes);
   }
   map.buildIndexes();
   return map;
@@ -176,9 +206,86 @@
   return { known(owner), successor ? known(*successor) : kNoServer };
 }
 
+ShardRow* ShardMapBuilder::findRow(base::ShardId shard)
+{
+  if (shard.value() < rows_.size()) {
+    return &rows_[shard.value()];
+  }
+  const auto at = overrides_.find(shard);
+  return at == overrides_.end() ? nullptr : &at->second.row;
+}
+
+std::optional<KeyOverride> ShardMapBuilder::unitAt(base::ShardId shard) const
+{
+  if (shard.value() < rows_.size()) {
+    return KeyOverride{ base::Key(), shard, rows_[shard.value()] };
+  }
+  const auto at = overrides_.find(shard);
+  return at == overrides_.end() ? std::nullopt : std::optional(at->second);
+}
+
+void ShardMapBuilder::touch(base::ShardId shard)
+{
+  if (startedFromMap_ && !before_.contains(shard)) {
+    before_.emplace(shard, unitAt(shard));
+  }
+}
+
+ShardMapBuilder::Changes ShardMapBuilder::findChanges() const
+{
+  Changes changes;
+  changes.servers.resize(servers_.size());
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    changes.servers[i] = startedFromMap_ && servers_[i].entry.voters != servers_[i].votersBefore;
+  }
+  for (const auto& [shard, before] : before_) {
+    const auto after = unitAt(shard);
+    if (before != after) {
+      noteChange(changes, shard, before, after);
+    }
+  }
+  return changes;
+}
+
+void ShardMapBuilder::noteChange(Changes& changes,
+                                 base::ShardId shard,
+                                 const std::optional<KeyOverride>& before,
+                                 const std::optional<KeyOverride>& after) const
+{
+  changes.shards.insert(shard);
+  for (const auto& unit : { before, after }) {
+    if (unit) {
+      changes.servers[unit->row.owner.value()] = true;
+    }
+  }
+  const bool sameKey = before && after && before->key == after->key;
+  for (const auto& unit : { before, after }) {
+    if (unit && !sameKey) {
+      noteHome(changes, *unit);
+    }
+  }
+}
+
+// A split or merge changes the keys of the home shard. A permit for the shard from before a merge
+// doesn't cover the key that came back, because the override may have had another successor.
+void ShardMapBuilder::noteHome(Changes& changes, const KeyOverride& hot) const
+{
+  const base::ShardId home = base::shardOfKey(hot.key, static_cast<std::uint32_t>(rows_.size()));
+  changes.shards.insert(home);
+  changes.servers[rows_[home.value()].owner.value()] = true;
+}
+
+base::Generation ShardMapBuilder::sinceOf(base::ShardId shard,
+                                          const ShardRow& row,
+                                          const Changes& changes) const
+{
+  const bool isNew = row.since == base::Generation() || changes.shards.contains(shard);
+  return isNew ? generation_ : row.since;
+}
+
 // Fills the servers of the map and returns the new position of each server, kNoServer for removed
 // ones.
-std::vector<ServerIndex> ShardMapBuilder::sortedOrder(ShardMap& map) const
+std::vector<ServerIndex> ShardMapBuilder::sortedOrder(ShardMap& map, const Changes& changes) const
 {
   std::vector<std::uint32_t> kept;
   for (std::uint32_t i = 0; i < servers_.size(); ++i) {
@@ -192,7 +299,9 @@
   map.servers_.reserve(kept.size());
   for (const std::uint32_t i : kept) {
     order[i] = ServerIndex(static_cast<std::uint32_t>(map.servers_.size()));
-    map.servers_.push_back({ servers_[i].id, servers_[i].entry });
+    const bool isNew = changes.servers[i] || servers_[i].changed == base::Generation();
+    map.servers_.push_back(
+      { servers_[i].id, servers_[i].entry, isNew ? generation_ : servers_[i].changed });
   }
   return order;
 }
@@ -209,7 +318,7 @@
   if (owner == kNoServer || (hasSuccessor && successor == kNoServer)) {
     throw PlacementError("a removed server still owns or succeeds a shard");
   }
-  return { owner, successor };
+  return { owner, successor, row.since };
 }
 
 } // namespace sycamore::placement
--- a/libs/placement/src/ShardMapCodec.cpp
+++ b/libs/placement/src/ShardMapCodec.cpp
@@ -16,20 +16,22 @@
   return row.successor == kNoServer ? json(nullptr) : json(map.server(row.successor).id.value());
 }
 
-json serverToJson(const ServerEntry& entry)
+json serverToJson(const MapServer& server)
 {
+  const ServerEntry& entry = server.entry;
   json voters = json::array();
   for (const base::VmId& voter : entry.voters) {
     voters.push_back(voter.value());
   }
   return { { "address", entry.address },
            { "domain", entry.domain.value() },
-           { "voters", std::move(voters) } };
+           { "voters", std::move(voters) },
+           { "changed", server.changed.value() } };
 }
 
 ServerEntry serverFromJson(const JsonField& value)
 {
-  value.requireFields({ "address", "domain", "voters" });
+  value.requireFields({ "address", "domain", "voters", "changed" });
   ServerEntry entry;
   entry.address = value.field("address").text();
   entry.domain = base::DomainId(value.field("domain").text());
@@ -41,6 +43,17 @@
   return entry;
 }
 
+// A generation in which something of the map was changed last.
+base::Generation pastGeneration(const JsonField& value, base::Generation generation)
+{
+  const base::Generation past(value.number(generation.value()));
+  // The builder takes generation 0 for the one that is built.
+  if (past == base::Generation() && generation != base::Generation()) {
+    value.fail("must be at least 1");
+  }
+  return past;
+}
+
 // Runs a step of the builder and adds the path to its error.
 template<typename Step>
 void at(const JsonField& value, Step&& step)
@@ -62,43 +75,49 @@
   return base::ServerId(value.text());
 }
 
-void readServers(ShardMapBuilder& builder, const JsonField& servers)
+void readServers(ShardMapBuilder& builder, const JsonField& servers, base::Generation generation)
 {
   servers.requireObject();
   for (const auto& [name, value] : servers.value().items()) {
     const JsonField server = servers.field(name);
-    at(server, [&] { builder.setServer(base::ServerId(name), serverFromJson(server)); });
+    const base::ServerId id(name);
+    at(server, [&] { builder.setServer(id, serverFromJson(server)); });
+    builder.recordChanged(id, pastGeneration(server.field("changed"), generation));
   }
 }
 
-void readShards(ShardMapBuilder& builder, const JsonField& rows, std::uint32_t shardCount)
+void readShards(ShardMapBuilder& builder,
+                const JsonField& rows,
+                std::uint32_t shardCount,
+                base::Generation generation)
 {
   rows.requireSize(shardCount);
   for (std::uint32_t i = 0; i < shardCount; ++i) {
     const JsonField row = rows.element(i);
-    row.requireSize(3);
+    row.requireSize(4);
     if (row.element(0).number(std::numeric_limits<std::uint32_t>::max()) != i) {
       row.element(0).fail("must be " + std::to_string(i));
     }
     const base::ServerId owner(row.element(1).text());
     const auto successor = successorFromJson(row.element(2));
     at(row, [&] { builder.assign(base::ShardId(i), owner, successor); });
+    builder.recordSince(base::ShardId(i), pastGeneration(row.element(3), generation));
   }
 }
 
-void readOverrides(ShardMapBuilder& builder, const JsonField& rows)
+void readOverrides(ShardMapBuilder& builder, const JsonField& rows, base::Generation generation)
 {
   rows.requireArray();
   for (std::size_t i = 0; i < rows.value().size(); ++i) {
     const JsonField row = rows.element(i);
-    row.requireSize(4);
+    row.requireSize(5);
     const base::Key key(row.element(0).text());
-    const auto shard = row.element(1).number(std::numeric_limits<std::uint32_t>::max());
+    const base::ShardId shard(
+      static_cast<std::uint32_t>(row.element(1).number(std::numeric_limits<std::uint32_t>::max())));
     const base::ServerId owner(row.element(2).text());
     const auto successor = successorFromJson(row.element(3));
-    at(row, [&] {
-      builder.addOverride(key, base::ShardId(static_cast<std::uint32_t>(shard)), owner, successor);
-    });
+    at(row, [&] { builder.addOverride(key, shard, owner, successor); });
+    builder.recordSince(shard, pastGeneration(row.element(4), generation));
   }
 }
 
@@ -110,17 +129,19 @@
   json overrides = json::array();
   for (std::uint32_t i = 0; i < map.shardCount(); ++i) {
     const ShardRow& row = map.row(base::ShardId(i));
-    shards.push_back({ i, map.server(row.owner).id.value(), successorToJson(map, row) });
+    shards.push_back(
+      { i, map.server(row.owner).id.value(), successorToJson(map, row), row.since.value() });
   }
   for (const KeyOverride& hot : map.overrides()) {
     overrides.push_back({ hot.key.value(),
                           hot.shard.value(),
                           map.server(hot.row.owner).id.value(),
-                          successorToJson(map, hot.row) });
+                          successorToJson(map, hot.row),
+                          hot.row.since.value() });
   }
   json servers = json::object();
   for (const MapServer& server : map.servers()) {
-    servers[server.id.value()] = serverToJson(server.entry);
+    servers[server.id.value()] = serverToJson(server);
   }
   return { { "service", map.service().value() }, { "generation", map.generation().value() },
            { "writer", map.writer() },           { "shard_count", map.shardCount() },
@@ -139,12 +160,13 @@
     root.field("shard_count").number(std::numeric_limits<std::uint32_t>::max()));
   rows.requireSize(shardCount);
   ShardMapBuilder builder(base::ServiceId(root.field("service").text()), shardCount);
-  builder.setGeneration(
-    base::Generation(root.field("generation").number(std::numeric_limits<std::uint64_t>::max())));
+  const base::Generation generation(
+    root.field("generation").number(std::numeric_limits<std::uint64_t>::max()));
+  builder.setGeneration(generation);
   builder.setWriter(root.field("writer").text());
-  readServers(builder, root.field("servers"));
-  readShards(builder, rows, shardCount);
-  readOverrides(builder, root.field("overrides"));
+  readServers(builder, root.field("servers"), generation);
+  readShards(builder, rows, shardCount, generation);
+  readOverrides(builder, root.field("overrides"), generation);
   std::optional<ShardMap> map;
   at(root, [&] { map = builder.build(); });
   return std::move(*map);
--- a/libs/placement/tests/ShardMapTest.cpp
+++ b/libs/placement/tests/ShardMapTest.cpp
@@ -70,6 +70,13 @@
   CHECK(pathAfter("/servers/layout-1/voters", nlohmann::json::array()) == "/servers/layout-1");
   CHECK(pathAfter("/servers/layout-1/port", 1) == "/servers/layout-1/port");
   CHECK(pathAfter("/servers/layout-1", 1) == "/servers/layout-1");
+  CHECK(pathAfter("/shards/3/3", 2) == "/shards/3/3");
+  CHECK(pathAfter("/shards/3/3", 0) == "/shards/3/3");
+  CHECK(pathAfter("/shards/3/3", nullptr) == "/shards/3/3");
+  CHECK(pathAfter("/shards/3", nlohmann::json::array({ 3, "layout-1", nullptr })) == "/shards/3");
+  CHECK(pathAfter("/overrides/0/4", 2) == "/overrides/0/4");
+  CHECK(pathAfter("/servers/layout-1/changed", 2) == "/servers/layout-1/changed");
+  CHECK(pathAfter("/servers/layout-1/changed", 0) == "/servers/layout-1/changed");
   CHECK(pathAfter("/extra", 1) == "/extra");
   CHECK(pathAfter("/generation", "7") == "/generation");
   CHECK(pathAfter("/writer", 7) == "/writer");
