Let an idle holder of an empty server sleep until its next renewal

Cause: nextTickAt() of a holder whose grants had all expired was one millisecond ahead for as long as the server stayed silent, also for a lost server without shards, which is never evicted: a thousand ticks per second each.

Change: the next tick is the eviction, and only of a server that owns shards.

--- a/libs/ownership/include/ownership/GrantClock.h
+++ b/libs/ownership/include/ownership/GrantClock.h
@@ -24,7 +24,6 @@
   std::optional<base::TimePoint> echo() const { return echo_; }
   base::Incarnation incarnation() const { return incarnation_; }
   base::TimePoint allExpireAt() const { return expireAt_; }
-  bool allExpired(base::TimePoint now) const { return now >= expireAt_; }
 
 private:
   std::optional<base::TimePoint> echo_;
--- a/libs/ownership/include/ownership/Tenancy.h
+++ b/libs/ownership/include/ownership/Tenancy.h
@@ -93,6 +93,7 @@
   void becomeHolder(TenancyActions& actions, base::TimePoint now);
   void stepDown(TenancyActions& actions, base::TimePoint now);
   void watch(base::TimePoint now);
+  base::TimePoint evictAt() const;
   void evictIfSilent(base::TimePoint now);
   void becomeEvicted(TenancyActions& actions, base::TimePoint now);
   bool successorsAsk(base::TimePoint now) const;
--- a/libs/ownership/src/TenancyEvents.h
+++ b/libs/ownership/src/TenancyEvents.h
@@ -63,8 +63,8 @@
 void BasicTenancy<Rules>::scheduleTick(base::TimePoint now)
 {
   nextTick_ = role_ == TenancyRole::Watching ? proposeAt_ : renewAt_;
-  if (role_ == TenancyRole::Active) {
-    nextTick_ = std::min(nextTick_, std::max(grants_.allExpireAt(), now + base::milliseconds(1)));
+  if (role_ == TenancyRole::Active && !row_.owned.empty()) {
+    nextTick_ = std::min(nextTick_, std::max(evictAt(), now + base::milliseconds(1)));
   }
 }
 
--- a/libs/ownership/src/TenancyRoles.h
+++ b/libs/ownership/src/TenancyRoles.h
@@ -103,12 +103,17 @@
 // The server keeps its shards while any grant may be in force, and has this long to answer a new
 // holder: a stall of 300 ms plus one renewal.
 template<OwnershipRules Rules>
-void BasicTenancy<Rules>::evictIfSilent(base::TimePoint now)
+base::TimePoint BasicTenancy<Rules>::evictAt() const
 {
   const base::TimePoint answerBy =
     lastAnswerAt_ + timings_.voteLifetime() + timings_.renewalInterval();
-  const bool expired = grants_.allExpired(now) || !Rules::kWaitOutGrants;
-  if (role_ != TenancyRole::Active || !expired || now < answerBy || row_.owned.empty()) {
+  return Rules::kWaitOutGrants ? std::max(grants_.allExpireAt(), answerBy) : answerBy;
+}
+
+template<OwnershipRules Rules>
+void BasicTenancy<Rules>::evictIfSilent(base::TimePoint now)
+{
+  if (role_ != TenancyRole::Active || now < evictAt() || row_.owned.empty()) {
     return;
   }
   withheld_ = {};
