Add a cluster of processes and a history checker for end-to-end tests

Cause: nothing checked a whole deployment against the invariants. Change: testing/cluster starts the platform and backend stand-ins and sycamored, sends load, and checks journals against callers' records.

--- /dev/null
+++ b/testing/cluster/include/test_cluster/Balancer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sycamore::test_cluster {
+
+// Stands in for the platform's balancer: asks /readyz of each entry VM every 50 ms and names those
+// that take callers. Safe from all threads.
+class Balancer
+{
+public:
+  Balancer();
+  ~Balancer();
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+
+  // Adds an entry VM or changes its caller address.
+  void set(const std::string& vm, const std::string& callerAddress);
+  void remove(const std::string& vm);
+
+  // Caller addresses of the entry VMs that were ready when last asked.
+  std::vector<std::string> ready() const;
+
+private:
+  void run();
+
+  mutable std::mutex mutex_;
+  std::map<std::string, std::string> addresses_;
+  std::vector<std::string> ready_;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+} // namespace sycamore::test_cluster
--- /dev/null
+++ b/testing/cluster/include/test_cluster/Caller.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <test_cluster/Call.h>
+#include <test_cluster/CallRecord.h>
+#include <transport/FaultSwitch.h>
+#include <transport/HttpClientPool.h>
+
+#include <string>
+
+namespace sycamore::test_cluster {
+
+// Sends requests as callers do and checks that each answer is whole and its own. Safe from all
+// threads.
+class Caller
+{
+public:
+  Caller();
+
+  // A new UUIDv7.
+  static std::string newRequestId();
+
+  // Sends the call once to the caller address of an entry VM. An empty request id stays away.
+  CallRecord send(const std::string& address, const Call& call);
+
+private:
+  transport::FaultSwitch faults_;
+  transport::HttpClientPool clients_;
+};
+
+} // namespace sycamore::test_cluster
--- /dev/null
+++ b/testing/cluster/include/test_cluster/JsonCall.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace sycamore::test_cluster {
+
+// Sends JSON to "ip:port" and returns the JSON of the answer. Throws base::Error without an answer
+// of status 200 within 5 s.
+nlohmann::json callJson(const std::string& method,
+                        const std::string& address,
+                        const std::string& path,
+                        const nlohmann::json& body = nlohmann::json::object());
+
+} // namespace sycamore::test_cluster
--- /dev/null
+++ b/testing/cluster/include/test_cluster/LoadGenerator.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <test_cluster/Balancer.h>
+#include <test_cluster/Caller.h>
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sycamore::test_cluster {
+
+// Caller threads that send one request after another through any ready entry VM until stopped, and
+// resend what was not executed under the same request id with a higher attempt.
+class LoadGenerator
+{
+public:
+  struct Options
+  {
+    unsigned threads = 8;
+    unsigned keys = 48;
+    // Sends at most so often; the first counts.
+    unsigned attempts = 4;
+    base::Duration deadline = std::chrono::milliseconds(1000);
+    // Pause of a thread after each request, which bounds the load.
+    base::milliseconds pause{ 5 };
+    // Also sends to the service "label", which has no keys.
+    bool unkeyed = true;
+    std::uint64_t seed = 1;
+  };
+
+  // Starts the load. The balancer must outlive it.
+  LoadGenerator(const Balancer& balancer, Options options);
+  ~LoadGenerator();
+  LoadGenerator(const LoadGenerator&) = delete;
+  LoadGenerator& operator=(const LoadGenerator&) = delete;
+
+  // Ends the load and returns all that was sent, each thread's in its order.
+  std::vector<CallRecord> stop();
+
+  // Requests whose last answer said "ran", so far.
+  std::uint64_t served() const { return served_; }
+  // Requests that were given up after all attempts, so far.
+  std::uint64_t failed() const { return failed_; }
+
+  static std::string keyName(unsigned index) { return "store-" + std::to_string(index); }
+
+private:
+  void run(unsigned index);
+  Call nextCall(std::mt19937_64& random) const;
+  bool sendUntilServed(Call call, std::mt19937_64& random, std::vector<CallRecord>& records);
+
+  const Balancer& balancer_;
+  const Options options_;
+  Caller caller_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::uint64_t> served_ = 0;
+  std::atomic<std::uint64_t> failed_ = 0;
+  std::mutex mutex_;
+  std::vector<CallRecord> records_;
+  std::vector<std::thread> threads_;
+};
+
+} // namespace sycamore::test_cluster
