Keep entry VMs ready while a service has no servers yet

Cause: /readyz wanted a shard map for every service, and a service gets its map with its first server, so creating a service took all entry VMs from the balancer. Change: once all maps of the platform are listed, a missing one no longer counts.

--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -408,6 +408,10 @@
   if (!configKnown_ || leaving_) {
     return false;
   }
+  // A service gets its map with its first server; until then the others are served.
+  if (mapsKnown_) {
+    return true;
+  }
   const auto generations = maps_.generations();
   const auto snapshot = config_.snapshot();
   return std::all_of(snapshot->services.begin(), snapshot->services.end(), [&](const auto& entry) {
--- a/tests/e2e/RoutingTest.cpp
+++ b/tests/e2e/RoutingTest.cpp
@@ -38,6 +38,14 @@
     CHECK_MESSAGE(violations.empty(), describe(violations));
   }
 
+  // Guards against a new service that takes all entry VMs from the balancer until it has servers.
+  TEST_CASE("a service without servers leaves the entry VMs ready")
+  {
+    Cluster cluster({ .layoutServers = 3, .labelServers = 0 });
+    LoadGenerator load(cluster.balancer(), { .unkeyed = false });
+    CHECK(e2e::servesMore(load, 100, 10s));
+  }
+
   // Guards against bodies that are held in memory whole, cut off or altered, with and without a
   // length, also through an entry VM that forwards them.
   TEST_CASE("bodies of 100 MB pass up and down in bounded memory")
