--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -58,6 +58,7 @@
   ownership::ServerRow row;
   row.server = server;
   row.generation = map.generation();
+  row.changed = map.generation();
   for (const base::ShardId shard : map.shardsOf(server)) {
     row.owned.insert(shard);
     if (const ServerId* successor = map.successor(shard)) {
@@ -490,7 +491,7 @@
   return reply;
 }
 
-std::vector<ownership::Permit> OwnershipController::answerPermits(const PermitQuery& query) const
+std::vector<ownership::Permit> OwnershipController::answerPermits(const PermitQuery& query)
 {
   const TimePoint now = context_.now();
   std::vector<ownership::Permit> permits;
@@ -651,10 +652,8 @@
 {
   std::vector<HeldTenancy> list;
   for (const auto& [server, managed] : managed_) {
-    const TenancyRole role = managed->tenancy.role();
-    if (role == TenancyRole::Active || role == TenancyRole::Evicting ||
-        role == TenancyRole::Evicted) {
-      const bool evicted = role == TenancyRole::Evicted;
+    if (managed->tenancy.holds(context_.now())) {
+      const bool evicted = managed->tenancy.role() == TenancyRole::Evicted;
       list.push_back({ server,
                        managed->service,
                        managed->tenancy.term(),
--- a/libs/ownership/include/ownership/ServerRow.h
+++ b/libs/ownership/include/ownership/ServerRow.h
@@ -13,9 +13,13 @@
 {
   base::ServerId server;
   base::Generation generation;
+  // The last generation that changed this server's shards, their successors or its voters.
+  base::Generation changed;
   ShardSet owned;
   // The owned shards by their recorded successor.
   std::map<base::ServerId, ShardSet> successors;
+  // Whether the server refuses lower terms (setting servers_check_tokens of the service).
+  bool checksTokens = true;
   // In order of preference.
   std::vector<base::VmId> voters;
 };
--- a/libs/ownership/src/TenancyVotes.h
+++ b/libs/ownership/src/TenancyVotes.h
@@ -18,17 +18,17 @@
   if (row_.generation < knownFloor_ || now >= proposingSince_ + 2 * timings_.voteLifetime()) {
     requestBump(actions, now);
   }
-  const bool evicted = knownKind_ == TenancyKind::Evicted && knownGeneration_ == row_.generation &&
+  const bool evicted = knownKind_ == TenancyKind::Evicted && knownRowGeneration_ == row_.changed &&
                        !row_.owned.empty();
   const TenancyKind wanted = evicted ? TenancyKind::Evicted : TenancyKind::Active;
   if (!proposing || needsNewTerm(wanted)) {
     highestTerm_ = std::max(highestTerm_, term_);
     term_ = base::Term(highestTerm_.value() + 1);
     proposedKind_ = wanted;
-    permitRow_ = row_;
     earlierGrantsExpire_ = {};
     quorum_.clear();
   }
+  permitRow_ = row_;
   askVotes(actions, now);
 }
 
@@ -37,7 +37,7 @@
 bool BasicTenancy<Rules>::needsNewTerm(TenancyKind wanted) const
 {
   return term_ <= highestTerm_ || wanted != proposedKind_ ||
-         (wanted == TenancyKind::Evicted && permitRow_.generation != row_.generation);
+         (wanted == TenancyKind::Evicted && permitRow_.changed != row_.changed);
 }
 
 template<OwnershipRules Rules>
@@ -65,7 +65,7 @@
     }
     SendVote action{ voter, voteRequest(voter, now) };
     action.request.resign = resign;
-    actions.push_back(std::move(action));
+    actions.emplace_back(std::move(action));
   }
 }
 
@@ -77,8 +77,10 @@
   request.holder = self_;
   request.term = term_;
   request.kind = kind();
-  request.generation =
-    request.kind == TenancyKind::Evicted ? permitRow_.generation : row_.generation;
+  const ServerRow& used = request.kind == TenancyKind::Evicted ? permitRow_ : row_;
+  request.generation = used.generation;
+  request.rowGeneration = used.changed;
+  request.checksTokens = row_.checksTokens;
   request.floor = holds(now) ? floor_ : base::Generation();
   if (std::find(row_.voters.begin(), row_.voters.end(), voter) != row_.voters.end()) {
     std::copy_if(row_.voters.begin(),
@@ -121,7 +123,7 @@
   }
   highestTerm_ = reply.highestTerm;
   knownKind_ = reply.currentKind;
-  knownGeneration_ = reply.currentGeneration;
+  knownRowGeneration_ = reply.currentRowGeneration;
 }
 
 template<OwnershipRules Rules>
@@ -144,7 +146,7 @@
   if (role_ == TenancyRole::Proposing) {
     noteEarlierVotes(reply, now);
     if (reply.voter != self_.vm) {
-      actions.push_back(SendVote{ self_.vm, voteRequest(self_.vm, now) });
+      actions.emplace_back(SendVote{ self_.vm, voteRequest(self_.vm, now) });
     }
   }
   checkVotes(actions, now);
@@ -197,7 +199,7 @@
   bumpAgainAt_ = now + timings_.voteLifetime();
   // Kept from the first request for this generation: the write may have begun then.
   bumps_.try_emplace(row_.generation, unlearned_);
-  actions.push_back(WriteBump{ row_.generation });
+  actions.emplace_back(WriteBump{ row_.generation });
 }
 
 template<OwnershipRules Rules>
