Answer resends without proof as unknown

Change: the router reports not-run for a resend only for reasons that arise after the holder's ledger was asked, and never for idempotent methods, which have no ledger.

--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -21,6 +21,25 @@
 constexpr base::milliseconds kDefaultRetryAfter{ 1000 };
 constexpr std::size_t kStoredAnswerBytes = 16 * 1024;
 
+// Whether a refusal of a resend proves that no earlier send of the request ran. Only the ledger of
+// the server's holder knows that, and these reasons arise before it is asked.
+bool provesNoEarlierRun(Reason reason, bool idempotent)
+{
+  switch (reason) {
+    case Reason::NoOwner:
+    case Reason::NotOwner:
+    case Reason::NotHolder:
+    case Reason::ConnectionLost:
+    case Reason::Timeout:
+    case Reason::Cancelled:
+    case Reason::Internal:
+      return false;
+    default:
+      // Idempotent requests have no ledger.
+      return !idempotent;
+  }
+}
+
 } // namespace
 
 void sendRefusal(transport::ServerResponse& response,
@@ -90,6 +109,10 @@
     router_.context_.keyObserver(request_.service, *request_.key);
   }
   AttemptResult result = attemptUntilSettled();
+  if (request_.attempt > 1 && result.verdict.outcome == Outcome::NotRun &&
+      !provesNoEarlierRun(result.verdict.reason, method_->idempotent)) {
+    result.verdict.outcome = Outcome::Unknown;
+  }
   if (result.again) {
     answerAgain(*result.again);
   } else if (result.verdict.outcome == Outcome::Ran && answer_.isCommitted()) {
