--- a/testing/cluster/include/test_cluster/Cluster.h
+++ b/testing/cluster/include/test_cluster/Cluster.h
@@ -34,7 +34,8 @@
     unsigned serviceTimeMs = 2;
   };
 
-  // Returns when every service is served. Throws base::Error if that takes more than 20 s.
+  // Returns when every service is served, or at once without entry VMs. Throws base::Error if that
+  // takes more than 20 s.
   explicit Cluster(Options options);
   ~Cluster();
   Cluster(const Cluster&) = delete;
@@ -63,7 +64,11 @@
   // The entry VM that holds the server's tenancy, or "".
   std::string holderOf(const std::string& server) const;
 
-  // Whether every running server is held and no shard belongs to another than a running server.
+  // Waits until each entry VM is ready for callers; throws base::Error after the timeout.
+  void waitReady(base::Duration timeout) const;
+
+  // Whether every running server is held and has three running voters, and no shard belongs to
+  // another than a running server.
   bool isSettled() const;
   // Waits for it; throws base::Error with what is missing.
   void waitSettled(base::Duration timeout) const;
--- a/testing/cluster/src/Cluster.cpp
+++ b/testing/cluster/src/Cluster.cpp
@@ -72,21 +72,29 @@
   }
   putObject("config", "service.layout", layoutConfig(options_));
   putObject("config", "service.label", labelConfig(options_));
+  // Entry VMs first, so that the first map names three voters for each server.
   const auto all = domains();
+  for (const std::string& domain : all) {
+    for (unsigned i = 0; i < options_.vmsPerDomain; ++i) {
+      startVm("vm-" + domain + std::to_string(i + 1), domain);
+    }
+  }
+  waitReady(10s);
   for (unsigned i = 0; i < options_.layoutServers; ++i) {
     startServer("layout-" + std::to_string(i + 1), "layout", all[i % all.size()]);
   }
   for (unsigned i = 0; i < options_.labelServers; ++i) {
     startServer("label-" + std::to_string(i + 1), "label", all[i % all.size()]);
   }
-  for (const std::string& domain : all) {
-    for (unsigned i = 0; i < options_.vmsPerDomain; ++i) {
-      startVm("vm-" + domain + std::to_string(i + 1), domain);
-    }
+  if (options_.vmsPerDomain > 0) {
+    waitSettled(kStartTime);
   }
-  waitSettled(kStartTime);
+}
+
+void Cluster::waitReady(base::Duration timeout) const
+{
   const auto ready = [&] { return balancer_.ready().size() == vms_.size(); };
-  if (!test_process::waitUntil(ready, 10s)) {
+  if (!test_process::waitUntil(ready, timeout)) {
     throw base::Error("not every entry VM became ready");
   }
 }
@@ -265,6 +273,17 @@
       if (running.contains(id) && !map.at("servers").contains(id)) {
         return id + " is not in the map";
       }
+      if (running.contains(id)) {
+        const json& voters = map.at("servers").at(id).at("voters");
+        const bool whole =
+          voters.size() == 3 && std::all_of(voters.begin(), voters.end(), [&](const json& voter) {
+            const auto vm = vms_.find(voter.get<std::string>());
+            return vm != vms_.end() && vm->second->isRunning();
+          });
+        if (!whole) {
+          return id + " has the voters " + voters.dump();
+        }
+      }
     }
   }
   return "";
--- /dev/null
+++ b/tests/e2e/LeavingTest.cpp
@@ -0,0 +1,87 @@
+#include "Support.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <test_process/WaitUntil.h>
+
+using namespace sycamore;
+using namespace std::chrono_literals;
+using namespace test_cluster;
+
+namespace {
+
+std::int64_t lastStart(const Cluster& cluster, const std::set<std::string>& servers)
+{
+  std::int64_t last = 0;
+  for (const Execution& execution : cluster.executions()) {
+    if (servers.contains(execution.server)) {
+      last = std::max(last, execution.startNs);
+    }
+  }
+  return last;
+}
+
+// Milliseconds from the time to the last start of an execution on one of the servers, which must
+// have received nothing in the last `quiet` of the load.
+double lastWorkMs(const Cluster& cluster, const std::set<std::string>& servers, std::int64_t since)
+{
+  return static_cast<double>(lastStart(cluster, servers) - since) / 1e6;
+}
+
+double servedPart(const std::vector<CallRecord>& calls)
+{
+  const auto ran =
+    std::count_if(calls.begin(), calls.end(), [](const CallRecord& call) { return call.isRan(); });
+  return static_cast<double>(ran) / static_cast<double>(calls.size());
+}
+
+} // namespace
+
+TEST_SUITE("leaving")
+{
+  // Guards against work for a server that wants to leave (I8).
+  TEST_CASE("a draining server gets no new work after 2 s")
+  {
+    Cluster cluster({});
+    LoadGenerator load(cluster.balancer(), {});
+    CHECK(e2e::servesMore(load, 100, 10s));
+    const std::int64_t since = KeyProbe::nowNs();
+    cluster.server("layout-1").drain();
+    cluster.server("label-1").drain();
+    const std::int64_t until = since + 4'000'000'000;
+    CHECK(test_process::waitUntil([&] { return KeyProbe::nowNs() >= until; }, 6s));
+    const auto calls = load.stop();
+    const double last = lastWorkMs(cluster, { "layout-1", "label-1" }, since);
+    MESSAGE("last start on a draining server after " << last << " ms; served part of all sends "
+                                                     << servedPart(calls));
+    CHECK(last < 2000);
+    CHECK(load.failed() == 0);
+    // The journals show only what started; refusals show work that still arrived.
+    const auto violations = cluster.check(calls);
+    CHECK_MESSAGE(violations.empty(), describe(violations));
+  }
+
+  // Guards against work in a failure domain that operators took out (I4), and against one that
+  // stays empty after its return.
+  TEST_CASE("a failure domain taken out gets no new work after 3 s and comes back")
+  {
+    Cluster cluster({});
+    LoadGenerator load(cluster.balancer(), {});
+    CHECK(e2e::servesMore(load, 100, 10s));
+    const std::set<std::string> inside{ "layout-1", "layout-4", "label-1" };
+    const std::int64_t since = KeyProbe::nowNs();
+    cluster.putObject("config", "domain.a", { { "domain", "a" }, { "state", "out" } });
+    const std::int64_t until = since + 5'000'000'000;
+    CHECK(test_process::waitUntil([&] { return KeyProbe::nowNs() >= until; }, 7s));
+    const double last = lastWorkMs(cluster, inside, since);
+    MESSAGE("last start in the failure domain after " << last << " ms");
+    CHECK(last < 3000);
+    cluster.putObject("config", "domain.a", { { "domain", "a" }, { "state", "in" } });
+    CHECK(test_process::waitUntil([&] { return lastStart(cluster, inside) > until; }, 15s));
+    const auto calls = load.stop();
+    MESSAGE("served part of all sends " << servedPart(calls));
+    CHECK(load.failed() == 0);
+    const auto violations = cluster.check(calls);
+    CHECK_MESSAGE(violations.empty(), describe(violations));
+  }
+}
--- a/tests/e2e/LossTest.cpp
+++ b/tests/e2e/LossTest.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <test_process/WaitUntil.h>
 
 using namespace sycamore;
 using namespace std::chrono_literals;
@@ -44,6 +43,8 @@
     const auto recovery = probe.recoveryMs(since, vm.empty() ? server : "", kPatience);
     recoveryMs.insert(recoveryMs.end(), recovery.begin(), recovery.end());
     worstMs.push_back(e2e::quantile(recovery, 1));
+    MESSAGE("loss of " << (vm.empty() ? server : vm) << ": slowest key after " << worstMs.back()
+                       << " ms");
     auto calls = load.stop();
     const auto probed = probe.stop();
     calls.insert(calls.end(), probed.begin(), probed.end());
@@ -96,7 +97,7 @@
     run.measure(cluster, server, holder);
     cluster.startVm(holder, cluster.vm(holder).options().domain);
     cluster.waitSettled(20s);
-    REQUIRE(test_process::waitUntil([&] { return cluster.balancer().ready().size() == 9; }, 10s));
+    cluster.waitReady(10s);
   }
   run.report(scenario);
 }
--- /dev/null
+++ b/tests/e2e/RestartTest.cpp
@@ -0,0 +1,76 @@
+#include "Support.h"
+
+#include <doctest/doctest.h>
+#include <test_process/WaitUntil.h>
+
+using namespace sycamore;
+using namespace std::chrono_literals;
+using namespace test_cluster;
+
+TEST_SUITE("restarts")
+{
+  // Guards against assignments that live only in the memory of entry VMs.
+  TEST_CASE("assignments survive the restart of all entry VMs")
+  {
+    Cluster cluster({});
+    const auto before = cluster.storedMap("layout").at("shards");
+    for (const std::string& id : cluster.vmIds()) {
+      cluster.vm(id).kill();
+    }
+    for (const std::string& id : cluster.vmIds()) {
+      cluster.startVm(id, cluster.vm(id).options().domain);
+    }
+    cluster.waitSettled(15s);
+    LoadGenerator load(cluster.balancer(), {});
+    CHECK(e2e::servesMore(load, 200, 15s));
+    CHECK(cluster.storedMap("layout").at("shards") == before);
+    const auto violations = cluster.check(load.stop());
+    CHECK_MESSAGE(violations.empty(), describe(violations));
+  }
+
+  // Guards against a rolling update that callers notice. They go where /readyz says.
+  TEST_CASE("a rolling restart of all entry VMs fails no request")
+  {
+    Cluster cluster({});
+    LoadGenerator load(cluster.balancer(), { .deadline = 3s });
+    CHECK(e2e::servesMore(load, 100, 10s));
+    for (const std::string& id : cluster.vmIds()) {
+      auto& process = cluster.vm(id).process();
+      process.terminate();
+      const auto exit = process.waitExit(12s);
+      REQUIRE(exit);
+      CHECK_MESSAGE(exit->code == 0, id << " did not leave in time");
+      cluster.startVm(id, cluster.vm(id).options().domain);
+      cluster.waitSettled(15s);
+      cluster.waitReady(10s);
+    }
+    const auto calls = load.stop();
+    CHECK(load.failed() == 0);
+    std::size_t unserved = 0;
+    for (const CallRecord& call : calls) {
+      // A connection that was refused was no request.
+      if (!call.isRan() && call.result != transport::ExchangeResult::NotSent && ++unserved < 5) {
+        MESSAGE("not served: " << call.service << "/" << call.method << " " << call.outcome << " "
+                               << call.reason << " result " << static_cast<int>(call.result)
+                               << " after " << (call.receivedNs - call.sentNs) / 1000000 << " ms");
+      }
+    }
+    MESSAGE(calls.size() << " sends during the rolling restart, not served: " << unserved);
+    CHECK(unserved == 0);
+    const auto violations = cluster.check(calls);
+    CHECK_MESSAGE(violations.empty(), describe(violations));
+  }
+
+  // Guards against servers that depend for ever on the only entry VM there was when they came.
+  TEST_CASE("servers get three voters when entry VMs join later")
+  {
+    Cluster cluster({ .vmsPerDomain = 0, .layoutServers = 3, .labelServers = 0 });
+    cluster.startVm("vm-a1", "a");
+    cluster.startServer("layout-9", "layout", "a");
+    CHECK(test_process::waitUntil([&] { return cluster.holderOf("layout-9") == "vm-a1"; }, 10s));
+    cluster.startVm("vm-a2", "a");
+    cluster.startVm("vm-b1", "b");
+    cluster.startVm("vm-c1", "c");
+    cluster.waitSettled(20s);
+  }
+}
