Add metrics and the burn report library

Cause: nothing counts requests by outcome, and operators cannot see which service uses up its error budget, or why.

Change: libs/telemetry with a striped latency histogram on Boost.Histogram, a metric registry bounded per metric, request metrics, burn counts per service in buckets of 10 s (6 h) and hours (30 days), forms that merge over VMs as JSON, and a report as table, JSON and one HTML page with inline SVG plots.

Ruled out: a dependency on libs/router for RequestRecord, because it would bring HTTP; wall-clock buckets, because VMs share no clock: forms carry ages. Moves and time without an owner merge by the largest figure, because every VM sees all of them.

--- /dev/null
+++ b/libs/telemetry/include/telemetry/BurnBook.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <telemetry/BurnForm.h>
+#include <telemetry/ServiceBurn.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+
+namespace sycamore::telemetry {
+
+// The ServiceBurn of all configured services. Safe from all threads; a record takes the lock of its
+// service for the time of a few additions.
+class BurnBook
+{
+public:
+  using Use = std::function<void(ServiceBurn& burn)>;
+
+  // Takes the services in effect. The counts of services that are gone are forgotten.
+  void setServices(const std::map<base::ServiceId, BurnObjective>& services, base::TimePoint now);
+
+  // Answers for services that are not configured are not counted.
+  void recordAnswer(const RequestSample& sample, base::TimePoint now);
+  void recordLoad(const base::ServiceId& service,
+                  const base::ServerId& server,
+                  base::TimePoint now);
+
+  // Calls use() with the service's counts under its lock; not called for an unknown service.
+  void update(const base::ServiceId& service, const Use& use);
+
+  BurnForm form(const base::VmId& vm, base::TimePoint now) const;
+
+private:
+  struct Entry
+  {
+    Entry(BurnObjective objective, base::TimePoint now)
+      : burn(objective, now)
+    {
+    }
+    std::mutex mutex;
+    ServiceBurn burn;
+  };
+
+  std::shared_ptr<Entry> find(const base::ServiceId& service) const;
+
+  mutable std::shared_mutex mutex_;
+  std::map<base::ServiceId, std::shared_ptr<Entry>> entries_;
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace sycamore::telemetry {
+
+// A number that only grows. Safe from all threads.
+class Counter
+{
+public:
+  void add(std::uint64_t by = 1) { value_.fetch_add(by, std::memory_order_relaxed); }
+  std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+private:
+  std::atomic<std::uint64_t> value_{ 0 };
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/Gauge.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <atomic>
+
+namespace sycamore::telemetry {
+
+// A number that goes up and down. Safe from all threads.
+class Gauge
+{
+public:
+  void set(double value) { value_.store(value, std::memory_order_relaxed); }
+  void add(double by) { value_.fetch_add(by, std::memory_order_relaxed); }
+  double value() const { return value_.load(std::memory_order_relaxed); }
+
+private:
+  std::atomic<double> value_{ 0 };
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/RequestMetrics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <telemetry/MetricRegistry.h>
+#include <telemetry/RequestSample.h>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <shared_mutex>
+#include <unordered_map>
+
+namespace sycamore::telemetry {
+
+// Requests of each service by outcome and reason, their latency and attempts. Safe from all
+// threads.
+class RequestMetrics
+{
+public:
+  // The registry outlives it.
+  explicit RequestMetrics(MetricRegistry& registry);
+  ~RequestMetrics();
+
+  // Requests for unknown services count under the service "unknown", because callers make up their
+  // names.
+  void record(const RequestSample& sample);
+
+private:
+  struct ServiceMetrics;
+
+  ServiceMetrics& metricsOf(const base::ServiceId& service);
+  Counter& requestCounter(ServiceMetrics& metrics, const RequestSample& sample);
+
+  MetricRegistry& registry_;
+  std::shared_mutex mutex_;
+  std::unordered_map<base::ServiceId, std::unique_ptr<ServiceMetrics>> services_;
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/RequestSample.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <base/Ids.h>
+#include <base/Time.h>
+#include <requests/Outcome.h>
+#include <requests/Reason.h>
+
+namespace sycamore::telemetry {
+
+// One finished request of a caller. Has the fields of router::RequestRecord that metrics need,
+// because libs/router would bring HTTP.
+struct RequestSample
+{
+  base::ServiceId service;
+  requests::Outcome outcome = requests::Outcome::Unknown;
+  requests::Reason reason = requests::Reason::None;
+  base::Duration latency{};
+  unsigned attempts = 0;
+  bool brokenOff = false;
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/ServiceBurn.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <telemetry/BurnVerdict.h>
+#include <telemetry/ServiceForm.h>
+#include <telemetry/TimeRing.h>
+
+#include <optional>
+
+namespace sycamore::telemetry {
+
+// The objective of a service.
+struct BurnObjective
+{
+  double goodRatio = 0.999;
+  base::Duration latency = std::chrono::milliseconds(100);
+};
+
+// Good and bad answers of one service over the last six hours in buckets of 10 s, and over 30 days
+// in hours; latencies in minutes. Bounded memory: about 0.5 MB, independent of load. A window of W
+// covers the bucket in progress and those before it, so at most W and at least W less 10 s. Not
+// thread-safe.
+class ServiceBurn
+{
+public:
+  ServiceBurn(BurnObjective objective, base::TimePoint now);
+
+  // Answers already judged keep their verdict.
+  void setObjective(BurnObjective objective) { objective_ = objective; }
+
+  void recordAnswer(const RequestSample& sample, base::TimePoint now);
+  void recordLoad(const base::ServerId& server, std::uint64_t requests, base::TimePoint now);
+  void retainServers(const std::vector<base::ServerId>& servers, base::TimePoint now);
+
+  // Shards whose owner changed.
+  void recordMoves(std::uint64_t shards, base::TimePoint now);
+
+  // How many shards have no owner now. Unavailable time is the time between an observation with any
+  // and the next one, but at most 10 s, because nothing is known of the time in which the process
+  // was paused.
+  void observeOwnerless(std::uint64_t shards, base::TimePoint now);
+
+  ServiceForm form(base::TimePoint now) const;
+
+private:
+  void add(const BurnCounts& counts, base::TimePoint now);
+  bool isMoving(base::TimePoint now) const;
+
+  BurnObjective objective_;
+  const base::TimePoint start_;
+  TimeRing<BurnCounts> fine_;
+  TimeRing<BurnCounts> hours_;
+  TimeRing<std::optional<LatencyCounts>> latencies_;
+  ServerLoads loads_;
+  std::optional<base::TimePoint> lastMove_;
+  std::optional<base::TimePoint> ownerlessSince_;
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/include/telemetry/TimeRing.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <base/Time.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace sycamore::telemetry {
+
+// Values of the last `count` time buckets. Buckets are counted back from the one that contains
+// `now`: bucket 0 is in progress. Spans of whole buckets that adjoin tile the time: each value is
+// in exactly one of them. Not thread-safe.
+template<typename T>
+class TimeRing
+{
+public:
+  TimeRing(base::Duration width, std::size_t count)
+    : width_(width)
+    , slots_(count)
+  {
+  }
+
+  // The bucket of a time, or null for one that is too old to be kept.
+  T* at(base::TimePoint time)
+  {
+    const std::int64_t index = indexOf(time);
+    Slot& slot = slotOf(index);
+    if (slot.index > index) {
+      return nullptr;
+    }
+    if (slot.index < index) {
+      slot.value = T{};
+      slot.index = index;
+    }
+    return &slot.value;
+  }
+
+  // Calls visit(value) for the buckets from `first` to before `last`, counted back from now.
+  template<typename Visit>
+  void visit(base::TimePoint now, std::size_t first, std::size_t last, Visit visitor) const
+  {
+    const std::int64_t current = indexOf(now);
+    for (std::size_t back = first; back < last && back < slots_.size(); ++back) {
+      const std::int64_t index = current - static_cast<std::int64_t>(back);
+      const Slot& slot = slotOf(index);
+      if (slot.index == index) {
+        visitor(slot.value);
+      }
+    }
+  }
+
+  // Sum over the same buckets.
+  T sum(base::TimePoint now, std::size_t first, std::size_t last) const
+  {
+    T result{};
+    visit(now, first, last, [&](const T& value) { result += value; });
+    return result;
+  }
+
+private:
+  struct Slot
+  {
+    std::int64_t index = INT64_MIN;
+    T value{};
+  };
+
+  std::int64_t indexOf(base::TimePoint time) const
+  {
+    const std::int64_t ticks = time.time_since_epoch().count();
+    const std::int64_t quotient = ticks / width_.count();
+    return ticks % width_.count() < 0 ? quotient - 1 : quotient;
+  }
+  std::size_t position(std::int64_t index) const
+  {
+    const auto size = static_cast<std::int64_t>(slots_.size());
+    return static_cast<std::size_t>(((index % size) + size) % size);
+  }
+  Slot& slotOf(std::int64_t index) { return slots_[position(index)]; }
+  const Slot& slotOf(std::int64_t index) const { return slots_[position(index)]; }
+
+  const base::Duration width_;
+  std::vector<Slot> slots_;
+};
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/src/LatencyCounts.cpp
@@ -0,0 +1,116 @@
+#include <telemetry/LatencyCounts.h>
+
+#include <telemetry/TelemetryError.h>
+
+#include <algorithm>
+#include <boost/histogram/make_histogram.hpp>
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace sycamore::telemetry {
+
+namespace {
+
+const LatencyAxis& sharedAxis()
+{
+  static const LatencyAxis axis = makeLatencyAxis();
+  return axis;
+}
+
+} // namespace
+
+LatencyCounts::LatencyCounts()
+  : counts_(boost::histogram::make_histogram_with(boost::histogram::dense_storage<std::uint64_t>(),
+                                                  sharedAxis()))
+{
+}
+
+void LatencyCounts::add(int bin, std::uint64_t count)
+{
+  counts_.at(bin) += count;
+  total_ += count;
+}
+
+LatencyCounts& LatencyCounts::operator+=(const LatencyCounts& other)
+{
+  counts_ += other.counts_;
+  total_ += other.total_;
+  return *this;
+}
+
+std::uint64_t LatencyCounts::at(int bin) const
+{
+  return counts_.at(bin);
+}
+
+std::uint64_t LatencyCounts::cumulative(int bin) const
+{
+  std::uint64_t sum = 0;
+  for (int i = -1; i <= bin; ++i) {
+    sum += at(i);
+  }
+  return sum;
+}
+
+std::optional<LatencyBounds> LatencyCounts::quantile(double q) const
+{
+  if (total_ == 0) {
+    return std::nullopt;
+  }
+  const double exact = std::ceil(q * static_cast<double>(total_));
+  const auto rank = std::clamp<std::uint64_t>(static_cast<std::uint64_t>(exact), 1, total_);
+  std::uint64_t seen = 0;
+  int bin = -1;
+  while ((seen += at(bin)) < rank) {
+    ++bin;
+  }
+  return bounds(bin);
+}
+
+nlohmann::json LatencyCounts::toJson() const
+{
+  nlohmann::json form = nlohmann::json::array();
+  for (int bin = -1; total_ > 0 && bin <= kLatencyBins; ++bin) {
+    if (at(bin) > 0) {
+      form.push_back(bin);
+      form.push_back(at(bin));
+    }
+  }
+  return form;
+}
+
+LatencyCounts LatencyCounts::fromJson(const nlohmann::json& form)
+{
+  if (!form.is_array() || form.size() % 2 != 0) {
+    throw TelemetryError("latencies must be an array of bins and counts");
+  }
+  LatencyCounts counts;
+  for (std::size_t i = 0; i < form.size(); i += 2) {
+    const bool valid = form[i].is_number_integer() && form[i + 1].is_number_unsigned();
+    const auto bin = valid ? form[i].get<std::int64_t>() : INT64_MIN;
+    if (bin < -1 || bin > kLatencyBins) {
+      throw TelemetryError("a latency bin is out of range or its count is no number");
+    }
+    counts.add(static_cast<int>(bin), form[i + 1].get<std::uint64_t>());
+  }
+  return counts;
+}
+
+int LatencyCounts::bin(base::Duration latency)
+{
+  // The axis puts what has no logarithm above all bins.
+  if (latency.count() <= 0) {
+    return -1;
+  }
+  return sharedAxis().index(std::chrono::duration<double>(latency).count());
+}
+
+LatencyBounds LatencyCounts::bounds(int bin)
+{
+  return { bin < 0 ? 0 : sharedAxis().value(bin),
+           bin >= kLatencyBins ? std::numeric_limits<double>::infinity()
+                               : sharedAxis().value(bin + 1) };
+}
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/src/RequestMetrics.cpp
@@ -0,0 +1,97 @@
+#include <telemetry/RequestMetrics.h>
+
+#include <mutex>
+
+namespace sycamore::telemetry {
+
+namespace {
+
+const MetricFamily kRequests{ "sycamore_requests_total",
+                              "Finished requests of callers.",
+                              { "service", "outcome", "reason" } };
+const MetricFamily kLatency{ "sycamore_request_latency_seconds",
+                             "Time from a caller's request to the end of its answer.",
+                             { "service" } };
+const MetricFamily kAttempts{ "sycamore_request_attempts_total",
+                              "Sends to backend servers, retries included.",
+                              { "service" } };
+const MetricFamily kBrokenOff{ "sycamore_requests_broken_off_total",
+                               "Answers that broke off before their end.",
+                               { "service" } };
+
+constexpr std::size_t kReasons = static_cast<std::size_t>(requests::Reason::Internal) + 1;
+constexpr std::size_t kOutcomes = 3;
+// Refusals before the service is looked up carry whatever name the caller wrote.
+constexpr std::size_t kMaxServices = 200;
+
+} // namespace
+
+struct RequestMetrics::ServiceMetrics
+{
+  std::string name;
+  LatencyHistogram& latency;
+  Counter& attempts;
+  Counter& brokenOff;
+  // Created when first needed; most combinations never occur.
+  std::array<std::atomic<Counter*>, kReasons * kOutcomes> requests{};
+};
+
+RequestMetrics::RequestMetrics(MetricRegistry& registry)
+  : registry_(registry)
+{
+}
+
+RequestMetrics::~RequestMetrics() = default;
+
+void RequestMetrics::record(const RequestSample& sample)
+{
+  const bool known = sample.reason != requests::Reason::UnknownService;
+  ServiceMetrics& metrics = metricsOf(known ? sample.service : base::ServiceId("unknown"));
+  requestCounter(metrics, sample).add();
+  metrics.latency.record(sample.latency);
+  metrics.attempts.add(sample.attempts);
+  if (sample.brokenOff) {
+    metrics.brokenOff.add();
+  }
+}
+
+RequestMetrics::ServiceMetrics& RequestMetrics::metricsOf(const base::ServiceId& service)
+{
+  {
+    const std::shared_lock lock(mutex_);
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+      return *found->second;
+    }
+  }
+  const std::unique_lock lock(mutex_);
+  const bool full = services_.size() >= kMaxServices && !services_.contains(service);
+  const base::ServiceId name = full ? base::ServiceId("other") : service;
+  auto& metrics = services_[name];
+  if (!metrics) {
+    const std::vector<std::string> values{ name.value() };
+    metrics.reset(new ServiceMetrics{ name.value(),
+                                      registry_.histogram(kLatency, values),
+                                      registry_.counter(kAttempts, values),
+                                      registry_.counter(kBrokenOff, values) });
+  }
+  return *metrics;
+}
+
+Counter& RequestMetrics::requestCounter(ServiceMetrics& metrics, const RequestSample& sample)
+{
+  const auto outcome = static_cast<std::size_t>(sample.outcome);
+  const auto reason = static_cast<std::size_t>(sample.reason);
+  std::atomic<Counter*>& slot = metrics.requests.at(outcome * kReasons + reason);
+  Counter* counter = slot.load(std::memory_order_acquire);
+  if (counter == nullptr) {
+    counter = &registry_.counter(kRequests,
+                                 { metrics.name,
+                                   std::string(requests::outcomeWord(sample.outcome)),
+                                   std::string(requests::reasonWord(sample.reason)) });
+    slot.store(counter, std::memory_order_release);
+  }
+  return *counter;
+}
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/src/ServicePlots.cpp
@@ -0,0 +1,153 @@
+#include "ServicePlots.h"
+
+#include "ReportText.h"
+
+#include <algorithm>
+
+namespace sycamore::telemetry {
+
+namespace {
+
+using Values = std::vector<std::optional<double>>;
+
+constexpr std::array<std::size_t, 3> kTrailingSteps{ 1, 6, 12 };
+// Above it a linear axis would press the thresholds into its lowest fifth.
+constexpr double kRootScaleFrom = 72;
+
+// Calls value(i) for all steps, oldest first; i counts back from now.
+template<typename Value>
+Values overSteps(std::size_t steps, Value value)
+{
+  Values values;
+  for (std::size_t i = steps; i-- > 0;) {
+    values.push_back(value(i));
+  }
+  return values;
+}
+
+std::optional<double> trailingBurn(const ServiceForm& form, std::size_t step, std::size_t length)
+{
+  if (step + length > kBurnSteps) {
+    return std::nullopt;
+  }
+  BurnCounts counts;
+  for (std::size_t i = step; i < step + length; ++i) {
+    counts += form.steps[i];
+  }
+  return counts.total() == 0 ? std::nullopt : std::optional(form.burnRate(counts));
+}
+
+PlotSpec burnPlot(const ServiceForm& form)
+{
+  PlotSpec plot;
+  plot.title = "Burn rate of the error budget";
+  plot.axis = "burn rate";
+  plot.timeUnit = "h";
+  plot.high = 20;
+  double largest = 0;
+  for (const std::size_t length : kTrailingSteps) {
+    plot.series.push_back(
+      { length == 12 ? "1 h window" : std::to_string(length * 5) + " min window",
+        overSteps(kBurnSteps, [&](std::size_t i) { return trailingBurn(form, i, length); }) });
+    for (const auto& value : plot.series.back().values) {
+      largest = std::max(largest, value.value_or(0));
+    }
+  }
+  if (largest > kRootScaleFrom) {
+    plot.scale = PlotScale::Root;
+    plot.axis += " (square-root scale)";
+  }
+  plot.thresholds = { { 14.4, "14.4: alert on 5 min and 1 h" },
+                      { 6, "6: alert on 30 min and 6 h" } };
+  return plot;
+}
+
+PlotSpec latencyPlot(const ServiceForm& form)
+{
+  PlotSpec plot;
+  plot.title = "Latency of requests that ran";
+  plot.axis = "latency (ms, log scale)";
+  plot.timeUnit = "h";
+  plot.scale = PlotScale::Log;
+  plot.low = 0.1;
+  plot.high = 100;
+  for (const auto& [name, q] :
+       { std::pair("p50", 0.5), std::pair("p90", 0.9), std::pair("p99", 0.99) }) {
+    plot.series.push_back({ name, overSteps(kBurnSteps, [&, share = q](std::size_t i) {
+                              const auto bounds = form.latencies[i].quantile(share);
+                              return bounds
+                                       ? std::optional(std::min(bounds->high, kLatencyMax) * 1000)
+                                       : std::nullopt;
+                            }) });
+  }
+  const double objective = std::chrono::duration<double>(form.latencyObjective).count();
+  plot.thresholds = { { objective * 1000, "objective " + latencyText(objective) } };
+  return plot;
+}
+
+PlotSpec causePlot(const ServiceForm& form)
+{
+  PlotSpec plot;
+  plot.title = "Bad answers by cause, per 5 min";
+  plot.axis = "bad answers";
+  plot.timeUnit = "h";
+  plot.stacked = true;
+  plot.high = 5;
+  for (const BurnCause cause : kAllBurnCauses) {
+    plot.series.push_back(
+      { std::string(burnCauseWord(cause)), overSteps(kBurnSteps, [&](std::size_t i) {
+          return std::optional(
+            static_cast<double>(form.steps[i].bad.at(static_cast<std::size_t>(cause))));
+        }) });
+  }
+  return plot;
+}
+
+PlotSpec imbalancePlot(const ServiceForm& form)
+{
+  PlotSpec plot;
+  plot.title = "Imbalance: busiest server over the mean, per minute";
+  plot.axis = "max / mean";
+  plot.timeUnit = "min";
+  plot.span = 60;
+  plot.tick = 10;
+  plot.low = 1;
+  plot.high = 1.5;
+  plot.series.push_back({ "max / mean requests", overSteps(kLoadSteps, [&](std::size_t i) {
+                            return imbalance(form.loads, i);
+                          }) });
+  plot.thresholds = { { 1.1, "target 1.10" } };
+  return plot;
+}
+
+PlotSpec countPlot(std::string title, std::string axis, double high, PlotSeries series)
+{
+  PlotSpec plot;
+  plot.title = std::move(title);
+  plot.axis = std::move(axis);
+  plot.timeUnit = "h";
+  plot.stacked = true;
+  plot.high = high;
+  plot.series.push_back(std::move(series));
+  return plot;
+}
+
+} // namespace
+
+std::vector<PlotSpec> servicePlots(const ServiceForm& form)
+{
+  const auto moves = overSteps(
+    kBurnSteps, [&](std::size_t i) { return std::optional<double>(form.steps[i].moves); });
+  const auto ownerless = overSteps(kBurnSteps, [&](std::size_t i) {
+    return std::optional(static_cast<double>(form.steps[i].unavailableMs) / 1000);
+  });
+  return { burnPlot(form),
+           latencyPlot(form),
+           causePlot(form),
+           imbalancePlot(form),
+           countPlot("Churn: moved shards, per 5 min", "shards", 5, { "moved shards", moves }),
+           countPlot(
+             "Unavailable time, per 5 min", "seconds", 1, { "time without an owner", ownerless }) };
+}
+
+} // namespace sycamore::telemetry
--- /dev/null
+++ b/libs/telemetry/src/ServicePlots.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "PlotSpec.h"
+
+#include <telemetry/ServiceForm.h>
+
+#include <vector>
+
+namespace sycamore::telemetry {
+
+// The plots of one service: burn rates, latency quantiles, bad answers by cause, imbalance, moves,
+// and time without an owner.
+std::vector<PlotSpec> servicePlots(const ServiceForm& form);
+
+} // namespace sycamore::telemetry
