Count requests in the daemon and let VMs ask each other for the counts

Cause: the observers of the router were empty and /metrics lacked the requests and one control counter (shards_moved_total).

Change: Telemetry* files in the daemon: both observers, all control counters under their earlier names, POST /peer/telemetry answered on the server's worker thread, a thread that looks at the routing table every 250 ms for moves and shards without a holder, and TelemetryCollector::collect(deadline), which merges all VMs. RoutingTable gets an accessor of the configuration.

Ruled out: ControlCounters::shardsMoved as the source of churn, because it is not per service and nothing counts it yet; moves are read from the maps instead. The test found that a peer without a known address ended the process by an exception in a collecting thread; such a peer is now named as missing.

--- a/libs/router/include/router/RoutingTable.h
+++ b/libs/router/include/router/RoutingTable.h
@@ -55,6 +55,9 @@
   RoutingTable(std::shared_ptr<const configuration::ConfigSnapshot> config,
                std::map<base::ServiceId, ServiceRoute> services);
 
+  // The configuration in effect.
+  const configuration::ConfigSnapshot& config() const { return *config_; }
+
   // Null for an unknown service.
   const configuration::ServiceConfig* findConfig(const base::ServiceId& service) const;
   const ServiceRoute* findService(const base::ServiceId& service) const;
--- a/libs/telemetry/src/SvgPlot.cpp
+++ b/libs/telemetry/src/SvgPlot.cpp
@@ -157,10 +157,14 @@
 std::string SvgPlot::thresholds() const
 {
   std::string out;
+  // Labels of neighbours take turns at the ends, since low thresholds lie close on a root scale.
+  bool isLeft = true;
   for (const PlotThreshold& threshold : spec_.thresholds) {
     const double height = y(threshold.value);
     out += rule("threshold", kLeft, height, kRight, height);
-    out += text(kLeft + 4, height - 3, "start", threshold.label);
+    out +=
+      text(isLeft ? kLeft + 4 : kRight - 4, height - 3, isLeft ? "start" : "end", threshold.label);
+    isLeft = !isLeft;
   }
   return out;
 }
--- a/programs/sycamored/src/Daemon.cpp
+++ b/programs/sycamored/src/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "Logging.h"
 #include "PeerApi.h"
 #include "StatusApi.h"
+#include "Telemetry.h"
 
 #include <control/ControlIo.h>
 #include <control/ControlThread.h>
@@ -60,7 +61,7 @@
     , callers_(trafficLimits(settings_),
                [this](auto& request, auto& response) { handleCaller(request, response); })
     , peers_(trafficLimits(settings_),
-             [this](auto& request, auto& response) { peerApi_->handle(request, response); })
+             [this](auto& request, auto& response) { handlePeer(request, response); })
     , status_({}, [this](auto& request, auto& response) { statusApi_->handle(request, response); })
   {
     callerBound_ = callers_.bind(HostPort::parse(settings_.callerAddress));
@@ -71,6 +72,7 @@
     peers_.start();
     status_.start();
     thread_.startTicking(kTickInterval, [this] { controller_->tick(); });
+    telemetry_.start(thread_, *controller_);
   }
 
   ~Impl()
@@ -79,6 +81,7 @@
     callers_.stop(deadline);
     peers_.stop(deadline);
     status_.stop(deadline);
+    telemetry_.stop();
     thread_.stop();
     io_.stop();
   }
@@ -121,11 +124,24 @@
     limits.heldBody = settings_.heldBodyBytes;
     router_ = std::make_unique<router::RequestRouter>(
       router::RouterContext{
-        settings_.vm, routing_, dispatchers_, quarantine_, trafficClients_, {}, {} },
+        settings_.vm,
+        routing_,
+        dispatchers_,
+        quarantine_,
+        trafficClients_,
+        [this](const auto& record) { telemetry_.observeRequest(record); },
+        [this](const auto& service, const auto& key) { telemetry_.observeKey(service, key); } },
       limits);
     peerApi_ = std::make_unique<PeerApi>(thread_, *controller_, *router_);
     statusApi_ = std::make_unique<StatusApi>(
-      thread_, *controller_, dispatchers_, faults_, settings_.debugFaults);
+      thread_, *controller_, dispatchers_, telemetry_, faults_, settings_.debugFaults);
+  }
+
+  void handlePeer(transport::ServerRequest& request, transport::ServerResponse& response)
+  {
+    if (!telemetry_.handlePeer(request, response)) {
+      peerApi_->handle(request, response);
+    }
   }
 
   void handleCaller(transport::ServerRequest& request, transport::ServerResponse& response)
@@ -156,6 +172,7 @@
   router::RoutingPublisher routing_;
   router::DispatcherTable dispatchers_;
   router::QuarantineBoard quarantine_;
+  Telemetry telemetry_{ settings_.vm, routing_, controlClients_ };
   control::ControlThread thread_;
   control::ControlIo io_;
   std::unique_ptr<control::Controller> controller_;
--- a/programs/sycamored/src/StatusApi.cpp
+++ b/programs/sycamored/src/StatusApi.cpp
@@ -1,8 +1,11 @@
 #include "StatusApi.h"
 
+#include "TelemetryControl.h"
+
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
+#include <telemetry/PrometheusText.h>
 
 namespace sycamore::daemon {
 
@@ -11,21 +14,18 @@
 constexpr base::milliseconds kControlTimeout{ 1000 };
 constexpr std::size_t kMaxFaultBody = 65536;
 
-void writeCounter(std::ostream& out, const char* name, std::uint64_t value)
-{
-  out << "# TYPE sycamore_" << name << " counter\nsycamore_" << name << ' ' << value << '\n';
-}
-
 } // namespace
 
 StatusApi::StatusApi(control::ControlThread& thread,
                      control::Controller& controller,
                      router::DispatcherTable& dispatchers,
+                     const Telemetry& telemetry,
                      transport::FaultSwitch& faults,
                      bool debugFaults)
   : thread_(thread)
   , controller_(controller)
   , dispatchers_(dispatchers)
+  , telemetry_(telemetry)
   , faults_(faults)
   , debugFaults_(debugFaults)
 {
@@ -71,26 +71,13 @@
 std::string StatusApi::metrics() const
 {
   std::ostringstream out;
-  const control::ControlCounters& counters = controller_.counters();
-  writeCounter(out, "vote_requests_total", counters.voteRequestsSent);
-  writeCounter(out, "vote_batches_total", counters.voteBatchesSent);
-  writeCounter(out, "grants_sent_total", counters.grantsSent);
-  writeCounter(out, "grants_refused_total", counters.grantsRefused);
-  writeCounter(out, "grants_unanswered_total", counters.grantsUnanswered);
-  writeCounter(out, "tenancies_gained_total", counters.tenanciesGained);
-  writeCounter(out, "tenancies_lost_total", counters.tenanciesLost);
-  writeCounter(out, "evictions_total", counters.evictions);
-  writeCounter(out, "permits_received_total", counters.permitsReceived);
-  writeCounter(out, "heartbeats_sent_total", counters.heartbeatsSent);
-  writeCounter(out, "map_writes_total", counters.mapWrites);
-  writeCounter(out, "map_conflicts_total", counters.mapConflicts);
-  writeCounter(out, "maps_adopted_total", counters.mapsAdopted);
-  writeCounter(out, "platform_calls_total", counters.platformCalls);
-  writeCounter(out, "platform_failures_total", counters.platformFailures);
-  writeCounter(out, "config_adoptions_total", counters.configAdoptions);
-  out << "# TYPE sycamore_requests_in_flight gauge\n";
+  std::string head;
+  out << controlCountersText(controller_.counters()) << telemetry_.metricsText();
+  telemetry::writeHead(head, "sycamore_requests_in_flight", "Requests at a server.", "gauge");
+  out << head;
   for (const auto& dispatcher : dispatchers_.all()) {
-    out << "sycamore_requests_in_flight{server=\"" << dispatcher->server() << "\"} "
+    out << "sycamore_requests_in_flight"
+        << telemetry::labelText({ "server" }, { dispatcher->server().value() }) << ' '
         << dispatcher->inFlight() << '\n';
   }
   return out.str();
--- a/programs/sycamored/src/StatusApi.h
+++ b/programs/sycamored/src/StatusApi.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Telemetry.h"
+
 #include <control/ControlThread.h>
 #include <control/Controller.h>
 #include <router/DispatcherTable.h>
@@ -18,6 +20,7 @@
   StatusApi(control::ControlThread& thread,
             control::Controller& controller,
             router::DispatcherTable& dispatchers,
+            const Telemetry& telemetry,
             transport::FaultSwitch& faults,
             bool debugFaults);
 
@@ -33,6 +36,7 @@
   control::ControlThread& thread_;
   control::Controller& controller_;
   router::DispatcherTable& dispatchers_;
+  const Telemetry& telemetry_;
   transport::FaultSwitch& faults_;
   const bool debugFaults_;
   std::atomic<bool> draining_{ false };
--- /dev/null
+++ b/programs/sycamored/src/TelemetryRoutes.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <router/RoutingTable.h>
+#include <telemetry/BurnBook.h>
+
+#include <map>
+#include <memory>
+
+namespace sycamore::daemon {
+
+// Notices in the routing table which shards moved and which have no owner, and tells the burn
+// counts. Every VM sees the maps of all services. Not thread-safe.
+class TelemetryRoutes
+{
+public:
+  explicit TelemetryRoutes(telemetry::BurnBook& book);
+
+  void observe(const router::RoutingTable& table, base::TimePoint now);
+
+private:
+  using Map = std::shared_ptr<const placement::ShardMap>;
+
+  void observeService(const base::ServiceId& service,
+                      const router::ServiceRoute& route,
+                      base::TimePoint now);
+
+  telemetry::BurnBook& book_;
+  std::map<base::ServiceId, Map> maps_;
+};
+
+} // namespace sycamore::daemon
