--- a/libs/ownership/src/TenancyEvents.h
+++ b/libs/ownership/src/TenancyEvents.h
@@ -63,8 +63,8 @@
 void BasicTenancy<Rules>::scheduleTick(base::TimePoint now)
 {
   nextTick_ = role_ == TenancyRole::Watching ? proposeAt_ : renewAt_;
-  if (role_ == TenancyRole::Active) {
-    nextTick_ = std::min(nextTick_, std::max(grants_.allExpireAt(), now + base::milliseconds(1)));
+  if (role_ == TenancyRole::Active && !row_.owned.empty()) {
+    nextTick_ = std::min(nextTick_, std::max(evictAt(), now + base::milliseconds(1)));
   }
 }
 
@@ -96,7 +96,9 @@
     return;
   }
   highestTerm_ = std::max(highestTerm_, term);
-  knownHolder_ = holder.vm;
+  // Two candidates that have seen each other would both count as first in the order and collide
+  // again; without a known holder their ranks differ.
+  knownHolder_ = role_ == TenancyRole::Proposing ? base::VmId() : holder.vm;
   watch(now);
 }
 
