Believe differences between shards as requests are counted

Cause: the first report of a shard counts in full in ShardLoads, so the chance differences of a second's requests moved shards back and forth when traffic started. When traffic stopped, all loads fell to 0 and the planner would spread shards by number, only to move them back later.

Ruled out: holding balance moves until enough is counted, which would also keep servers that join without shards while there is little traffic.

Change: a shard's rate is drawn towards the mean of all shards, by half at 30 requests counted per shard and less with more. Without traffic the loads stay as they are.

--- a/libs/control/src/LoadPlanning.cpp
+++ b/libs/control/src/LoadPlanning.cpp
@@ -1,6 +1,7 @@
 #include "LoadPlanning.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamore::control {
 
@@ -11,12 +12,18 @@
 // some would make shards look idle.
 constexpr std::chrono::seconds kSettleTime{ 2 };
 constexpr std::chrono::seconds kGap{ 5 };
+// A sum covers about a second, however long ago the one before was.
+constexpr std::chrono::milliseconds kMaxInterval{ 1500 };
 // Below this many requests per second the differences between shards are noise.
 constexpr double kMinTraffic = 20.0;
 // About eight requests within the trackers' time constant. Without this mark two requests that meet
 // by chance while traffic starts would split their key out.
 constexpr double kMinHotRate = 4.0;
 
+// With so many requests counted per shard, half of a shard's difference from the mean is believed.
+// Taken in full, the chance differences of the first seconds would move shards back and forth.
+constexpr double kHalfBelief = 30.0;
+
 } // namespace
 
 void LoadPlanning::note(const base::VmId& from, ServiceLoad load, base::TimePoint now)
@@ -42,16 +49,37 @@
   }
   const LoadBook::Sum sum = book_.sum(map, now);
   const bool busy = sum.total >= kMinTraffic;
-  map.forEachShard([&](base::ShardId shard, const placement::ShardRow&) {
-    const auto rate = sum.rates.find(shard);
-    loads_.observe(shard, busy && rate != sum.rates.end() ? rate->second : 0.0, now);
-  });
+  // A service without traffic keeps its loads: shards spread anew at night would move back by day.
+  if (busy) {
+    observe(map, sum, now);
+  }
   summary_ = sum.hotKeys;
   decision_ = policy_.decide(map, summary_, serverCount, now);
   std::erase_if(decision_.hot,
                 [&](const base::Key& key) { return !busy || rateOf(key) < kMinHotRate; });
 }
 
+void LoadPlanning::observe(const placement::ShardMap& map,
+                           const LoadBook::Sum& sum,
+                           base::TimePoint now)
+{
+  const auto units = static_cast<double>(std::max<std::size_t>(1, map.unitCount()));
+  const double mean = sum.total / units;
+  const auto seconds = [](base::Duration time) {
+    return std::chrono::duration<double>(time).count();
+  };
+  const base::Duration gap = now - observedAt_;
+  counted_ = counted_ * std::exp(-seconds(gap) / seconds(placement::ShardLoads::kTimeConstant)) +
+             mean * seconds(std::min<base::Duration>(gap, kMaxInterval));
+  observedAt_ = now;
+  const double belief = counted_ / (counted_ + kHalfBelief);
+  map.forEachShard([&](base::ShardId shard, const placement::ShardRow&) {
+    const auto found = sum.rates.find(shard);
+    const double rate = found == sum.rates.end() ? 0.0 : found->second;
+    loads_.observe(shard, mean + belief * (rate - mean), now);
+  });
+}
+
 void LoadPlanning::applied(const placement::Plan& plan,
                            const placement::ShardMap& before,
                            const placement::ShardMap& after,
--- a/libs/control/src/LoadPlanning.h
+++ b/libs/control/src/LoadPlanning.h
@@ -31,6 +31,7 @@
   const placement::HotKeyPolicy::Decision& hotKeys() const { return decision_; }
 
 private:
+  void observe(const placement::ShardMap& map, const LoadBook::Sum& sum, base::TimePoint now);
   double rateOf(const base::Key& key) const;
 
   LoadBook book_;
@@ -40,6 +41,9 @@
   placement::HotKeySummary summary_;
   base::TimePoint startedAt_{};
   base::TimePoint refreshedAt_{};
+  // Requests counted per shard, decayed like the loads.
+  double counted_ = 0;
+  base::TimePoint observedAt_{};
 };
 
 } // namespace sycamore::control
