Show the burn report to operators and tell voters of servers that check no tokens

Cause: burn reports had no RPC behind them, and a vote request didn't say that its server checks no tokens, so a new holder's term didn't wait out the old one's votes for such servers. Change: BurnReply turns the merged report into the operators' rows; VoteRequest carries the flag.

--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -104,6 +104,7 @@
   services_[config.service] = std::make_unique<ServiceShards>(map);
   for (const auto& server : map->servers()) {
     ownership::ServerRow row = rowOf(*map, server.id);
+    row.checksTokens = config.serversCheckTokens;
     const bool isVoter =
       std::find(row.voters.begin(), row.voters.end(), context_.self.vm) != row.voters.end();
     Managed* managed = find(server.id);
@@ -122,7 +123,9 @@
   }
   for (const auto& [server, managed] : managed_) {
     if (managed->service == config.service && map->find(server) == nullptr) {
-      perform(*managed, managed->tenancy.onMap(rowOf(*map, server), now));
+      ownership::ServerRow row = rowOf(*map, server);
+      row.checksTokens = config.serversCheckTokens;
+      perform(*managed, managed->tenancy.onMap(row, now));
     }
   }
   flushVotes();
--- a/libs/control/src/PeerCodec.cpp
+++ b/libs/control/src/PeerCodec.cpp
@@ -91,6 +91,9 @@
     value["proof"] =
       json::array({ request.proof->voter.value(), request.proof->generation.value() });
   }
+  if (!request.checksTokens) {
+    value["unchecked"] = true;
+  }
   if (request.resign) {
     value["resign"] = true;
   }
@@ -113,6 +116,7 @@
     request.proof = ownership::FloorProof{ strongOf<base::Incarnation>(value["proof"].at(0)),
                                            strongOf<base::Generation>(value["proof"].at(1)) };
   }
+  request.checksTokens = !value.value("unchecked", false);
   request.resign = value.value("resign", false);
   return request;
 }
--- /dev/null
+++ b/programs/sycamored/src/BurnReply.cpp
@@ -0,0 +1,37 @@
+#include "BurnReply.h"
+
+namespace sycamore::daemon {
+
+operators::BurnReport burnReply(telemetry::BurnReport report,
+                                const operators::BurnReportRequest& request)
+{
+  if (!request.service.empty()) {
+    report.keepOnly(base::ServiceId(request.service));
+  }
+  operators::BurnReport reply;
+  for (const auto& [service, form] : report.services()) {
+    for (std::size_t i = 0; i < telemetry::kBurnWindows.size(); ++i) {
+      const telemetry::BurnCounts& counts = form.windows[i];
+      operators::BurnRow row;
+      row.service = service.value();
+      row.window = std::string(telemetry::kBurnWindows[i].name);
+      row.requests = counts.total();
+      row.goodRatio = 1.0 - counts.badRatio();
+      row.objective = form.goodRatio;
+      row.burnRate = form.burnRate(counts);
+      reply.rows.push_back(row);
+    }
+  }
+  for (const base::VmId& vm : report.missing()) {
+    operators::BurnRow row;
+    row.service = vm.value();
+    row.window = "missing";
+    reply.rows.push_back(row);
+  }
+  if (request.html) {
+    reply.html = report.html();
+  }
+  return reply;
+}
+
+} // namespace sycamore::daemon
--- a/programs/sycamored/src/Daemon.cpp
+++ b/programs/sycamored/src/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include "BurnReply.h"
 #include "Logging.h"
 #include "OperatorGateway.h"
 #include "PeerApi.h"
@@ -159,6 +160,9 @@
                                                  trafficClients_,
                                                  settings_.platformAddress,
                                                  SYCAMORE_VERSION);
+    gateway_->setBurnReporter([this](const auto& request, TimePoint deadline) {
+      return burnReply(telemetry_.collect(deadline), request);
+    });
     operators::OperatorServiceSettings settings;
     settings.address = settings_.operatorAddress;
     settings.tokens = settings_.operatorTokens;
