Let only holders change successors, and tell callers of replays through peers

Cause: the planner changed successors and merged overrides by itself. A permit names a successor, so such a write could take effect after an eviction and give a shard to two servers (rule of the ownership model). A bump confirmed for one tenancy was also taken as proof by tenancies that asked after its write had begun. Sycamore-Replayed was lost on the way through a forwarding entry VM. Ruled out for the last: a second execution; the digest and the path through a peer explain it. Change: orders to the holder carry successor changes and merges, written with the same floor as a change of voters; bumps name the tenancies that asked; replays keep their header.

--- a/libs/control/include/control/MapController.h
+++ b/libs/control/include/control/MapController.h
@@ -2,19 +2,20 @@
 
 #include <configuration/ConfigSnapshot.h>
 #include <control/ControlContext.h>
+#include <control/LoadReport.h>
 #include <control/PeerMessages.h>
 #include <ownership/TenancyAction.h>
 #include <placement/EntryVm.h>
 #include <placement/OwnershipHistory.h>
 #include <placement/Plan.h>
 #include <placement/ServerView.h>
-#include <placement/ShardLoads.h>
 #include <placement/ShardMap.h>
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,9 @@
 
   // A newer map is in use.
   virtual void mapAdopted(const base::ServiceId& service) = 0;
-  // The write that a bump asked for is confirmed.
-  virtual void bumpWritten(const base::ServiceId& service, base::Generation generation) = 0;
+  // The write that these tenancies asked for before it began is confirmed.
+  virtual void bumpWritten(const std::set<base::ServerId>& servers,
+                           base::Generation generation) = 0;
   // The planner wants a change that only the holder of the server may write.
   virtual void orderChange(const ChangeOrder& order) = 0;
   virtual bool isEvicted(const base::ServerId& server) const = 0;
@@ -69,7 +71,9 @@
   void writeFor(const base::ServiceId& service,
                 const base::ServerId& server,
                 const ownership::WriteMap& change);
-  void bump(const base::ServiceId& service, base::Generation base);
+  // A tenancy needs a map above this generation, one that is written from now on if the platform
+  // has none.
+  void bump(const base::ServiceId& service, const base::ServerId& server, base::Generation base);
   // Forgets the plan of a change that is over.
   void changeResolved(const base::ServerId& server);
 
@@ -77,6 +81,12 @@
   // returns the shards to release. Nothing when the order was made for another generation.
   std::optional<ownership::ShardSet> acceptMoves(const ChangeOrder& order);
 
+  // The same for changes of successors and merges, which go along with a write of the voters. False
+  // when the order was made for another generation.
+  bool acceptEdits(const ChangeOrder& order);
+  // Forgets an accepted order that the tenancy can't begin now.
+  void discardOrder(const ChangeOrder& order);
+
   std::optional<StoredMap> find(const base::ServiceId& service) const;
   std::map<base::ServiceId, base::Generation> generations() const;
   const placement::OwnershipHistory* historyOf(const base::ServiceId& service) const;
@@ -84,8 +94,11 @@
   // Moves that holders on this VM have under way.
   std::vector<placement::Move> plannedMoves(const base::ServiceId& service) const;
 
-  // Load of shards as traffic threads count it, in requests per second.
-  void observeLoad(const base::ServiceId& service, base::ShardId shard, double requestsPerSecond);
+  // A load report of an entry VM for a service that this VM plans. The loads of all VMs are summed
+  // before they are taken into account.
+  void observeLoad(const base::VmId& from, ServiceLoad load);
+  // The entry VM that plans the service, as far as this one sees.
+  std::optional<base::VmId> plannerOf(const base::ServiceId& service) const;
 
   // The next step of the placement, without doing it.
   std::optional<placement::Plan> dryRun(const base::ServiceId& service) const;
@@ -93,9 +106,14 @@
 private:
   struct ServiceState;
 
+  // Whether a change of the server is under way here.
+  static bool isChanging(const ServiceState& state, const base::ServerId& server);
   ServiceState& stateOf(const base::ServiceId& service);
   ServiceState* findState(const base::ServiceId& service) const;
   void install(ServiceState& state, placement::ShardMap map, base::Version version);
+  // Names the reasons of the moves of this VM that the newly observed map contains.
+  void explainMoves(ServiceState& state, const placement::ShardMap& next);
+  void noteOwnPlan(ServiceState& state, const placement::ShardMap& next);
   // Servers as the platform's list shows them: decides which servers the map names.
   std::vector<placement::ServerView> listedServers(const ServiceState& state) const;
   // Servers as their holders see them: decides which of them get shards.
@@ -118,7 +136,7 @@
   void planService(ServiceState& state);
   void createFirstMap(ServiceState& state);
   placement::Plan nextPlan(const ServiceState& state) const;
-  void orderMoves(ServiceState& state, const placement::Plan& plan);
+  void orderChanges(ServiceState& state, const placement::Plan& plan);
   bool repairVoters(ServiceState& state);
   std::string writerToken();
 
--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -33,7 +33,9 @@
                         const base::ServerId& server,
                         const ownership::WriteMap& change) = 0;
   // Voters need a newer map, or one written anew.
-  virtual void bumpMap(const base::ServiceId& service, base::Generation base) = 0;
+  virtual void bumpMap(const base::ServiceId& service,
+                       const base::ServerId& server,
+                       base::Generation base) = 0;
   // The result of a change of the map is known.
   virtual void changeResolved(const base::ServerId& server) = 0;
   // Peers should hear of a change of the held tenancies at once.
@@ -70,8 +72,9 @@
              const configuration::ServiceConfig& config);
   // A service is gone.
   void dropService(const base::ServiceId& service);
-  // This VM's write of this generation, asked for by bumpMap, is confirmed.
-  void onBumpWritten(const base::ServiceId& service, base::Generation generation);
+  // This VM's write of this generation, which these servers' tenancies asked for by bumpMap before
+  // it began, is confirmed.
+  void onBumpWritten(const std::set<base::ServerId>& servers, base::Generation generation);
 
   // Messages of peers.
   VoteBatchReply answerVotes(const VoteBatch& batch);
--- a/libs/control/include/control/PeerMessages.h
+++ b/libs/control/include/control/PeerMessages.h
@@ -75,14 +75,26 @@
   base::ServerId successor;
 };
 
-// Body of /peer/move: changes of a server's shards or voters that only its holder may write.
+// One change of a shard's recorded successor.
+struct SuccessorOrder
+{
+  base::ShardId shard;
+  // Empty for none.
+  base::ServerId successor;
+};
+
+// Body of /peer/move: changes of a server's shards, their successors or its voters, which only its
+// holder may write. Moves come alone; the others may come together.
 struct ChangeOrder
 {
   base::ServiceId service;
   base::ServerId server;
   base::Generation generation;
   std::vector<MoveOrder> moves;
-  // Not empty: change the voters instead.
+  std::vector<SuccessorOrder> successors;
+  // Overrides of cooled keys that return to their shards.
+  std::vector<base::ShardId> merges;
+  // Empty: the voters stay.
   std::vector<base::VmId> voters;
 };
 
--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -1,6 +1,7 @@
 #include <control/Controller.h>
 
 #include <control/ControlError.h>
+#include <control/LoadCodec.h>
 #include <control/PeerCodec.h>
 
 #include <algorithm>
@@ -21,6 +22,8 @@
 constexpr base::milliseconds kHeartbeatInterval{ 250 };
 constexpr base::milliseconds kHeartbeatTimeout{ 250 };
 constexpr base::milliseconds kFetchTimeout{ 1000 };
+// Counts over less time are mostly noise; hot keys are split out within a few reports.
+constexpr base::milliseconds kLoadInterval{ 1000 };
 // Routes are published at least this often, since holders go stale without an event.
 constexpr base::milliseconds kRouteInterval{ 200 };
 // A server that drains, or whose failure domain was taken out, may take work for so long while its
@@ -74,6 +77,10 @@
     nextHeartbeat_ = now + kHeartbeatInterval;
     sendHeartbeats();
   }
+  if (now >= nextLoads_) {
+    nextLoads_ = now + kLoadInterval;
+    reportLoads();
+  }
   if (routesDirty_ || now >= nextRoutes_) {
     nextRoutes_ = now + kRouteInterval;
     publishRoutes();
@@ -87,9 +94,9 @@
   maps_.writeFor(service, server, change);
 }
 
-void Controller::bumpMap(const ServiceId& service, base::Generation base)
+void Controller::bumpMap(const ServiceId& service, const ServerId& server, base::Generation base)
 {
-  maps_.bump(service, base);
+  maps_.bump(service, server, base);
 }
 
 void Controller::changeResolved(const ServerId& server)
@@ -114,9 +121,9 @@
   holdersChanged();
 }
 
-void Controller::bumpWritten(const ServiceId& service, base::Generation generation)
+void Controller::bumpWritten(const std::set<ServerId>& servers, base::Generation generation)
 {
-  ownership_.onBumpWritten(service, generation);
+  ownership_.onBumpWritten(servers, generation);
 }
 
 bool Controller::isEvicted(const ServerId& server) const
@@ -351,6 +358,52 @@
   return "{}";
 }
 
+void Controller::reportLoads()
+{
+  std::map<VmId, LoadReport> reports;
+  for (ServiceLoad& load : loads_.take(context_.now())) {
+    const auto planner = maps_.plannerOf(load.service);
+    const auto stored = maps_.find(load.service);
+    if (!planner || !stored) {
+      continue;
+    }
+    load.generation = stored->map->generation();
+    reports[*planner].services.push_back(std::move(load));
+  }
+  for (auto& [planner, report] : reports) {
+    report.from = context_.self.vm;
+    sendLoad(planner, std::move(report));
+  }
+}
+
+void Controller::sendLoad(const VmId& planner, LoadReport report)
+{
+  if (planner == context_.self.vm) {
+    takeLoad(std::move(report));
+    return;
+  }
+  if (const auto peer = members_.findPeer(planner)) {
+    context_.io.post(peer->peerAddress,
+                     "/peer/load",
+                     encode(report),
+                     context_.now() + kLoadInterval,
+                     [](const transport::BufferedResponse&) {});
+  }
+}
+
+void Controller::takeLoad(LoadReport report)
+{
+  for (ServiceLoad& load : report.services) {
+    maps_.observeLoad(report.from, std::move(load));
+  }
+}
+
+std::string Controller::answerLoad(const std::string& body)
+{
+  takeLoad(decodeLoadReport(body));
+  return "{}";
+}
+
 void Controller::orderChange(const ChangeOrder& order)
 {
   const auto holder = ownership_.holders().find(order.server);
@@ -378,16 +431,22 @@
 
 void Controller::executeOrder(const ChangeOrder& order)
 {
-  if (!order.voters.empty()) {
-    const auto stored = maps_.find(order.service);
-    if (stored && stored->map->generation() == order.generation) {
-      ownership_.startVoterChange(order.server, order.voters);
+  if (!order.moves.empty()) {
+    const auto shards = maps_.acceptMoves(order);
+    if (shards && !ownership_.startMove(order.server, *shards)) {
+      maps_.discardOrder(order);
     }
     return;
   }
-  const auto shards = maps_.acceptMoves(order);
-  if (shards && !ownership_.startMove(order.server, *shards)) {
-    maps_.changeResolved(order.server);
+  const auto stored = maps_.find(order.service);
+  const auto* entry = stored ? stored->map->find(order.server) : nullptr;
+  if (entry == nullptr || !maps_.acceptEdits(order)) {
+    return;
+  }
+  // A change of successors alone rewrites the voters as they are: it needs the same floor.
+  const auto& voters = order.voters.empty() ? entry->voters : order.voters;
+  if (!ownership_.startVoterChange(order.server, voters)) {
+    maps_.discardOrder(order);
   }
 }
 
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -1,5 +1,7 @@
 #include <control/MapController.h>
 
+#include "LoadPlanning.h"
+
 #include <control/ControlError.h>
 
 #include <placement/Failover.h>
@@ -13,6 +15,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace sycamore::control {
 
@@ -43,13 +46,33 @@
                                                        : placement::VoterMode::Hold;
 }
 
+std::size_t countUsable(const std::vector<placement::ServerView>& views)
+{
+  return static_cast<std::size_t>(std::ranges::count_if(views, [](const auto& view) {
+    return view.state == placement::ServerState::Live || view.state == placement::ServerState::Cold;
+  }));
+}
+
+// Applies changes of successors and merges, which no server loses a shard by.
+void applyEdits(placement::ShardMapBuilder& builder,
+                const placement::ShardMap& map,
+                const placement::Plan& edits)
+{
+  for (const placement::SuccessorChange& change : edits.successors) {
+    builder.assign(change.shard, map.owner(change.shard), change.successor);
+  }
+  for (const base::ShardId shard : edits.merges) {
+    builder.removeOverride(shard);
+  }
+}
+
 } // namespace
 
 struct MapController::ServiceState
 {
   explicit ServiceState(const configuration::ServiceConfig& serviceConfig)
     : config(serviceConfig)
-    , loads(serviceConfig.shards)
+    , load(serviceConfig.shards)
   {
   }
 
@@ -57,12 +80,23 @@
   std::shared_ptr<const placement::ShardMap> map;
   Version version;
   placement::OwnershipHistory history;
-  placement::ShardLoads loads;
+  LoadPlanning load;
   // Writes that holders on this VM want, by server.
   std::map<ServerId, ownership::WriteMap> wanted;
   // The moves behind wanted writes of kind Move.
   std::map<ServerId, std::vector<placement::Move>> planned;
+  // The latest moves that this VM ordered of holders, to explain them once they are in effect.
+  std::map<base::ShardId, placement::Move> ordered;
+  // The latest plan that this VM wrote itself, and the token of that write.
+  placement::Plan ownPlan;
+  std::string ownWriter;
+  // Successor changes and merges that go along with a wanted write of kind Voters.
+  std::map<ServerId, placement::Plan> edits;
   std::optional<Generation> bumpAbove;
+  // Tenancies that asked for a newer map. Those that asked before its write began may take it as
+  // proof.
+  std::set<ServerId> bumpWanted;
+  std::set<ServerId> bumpInWrite;
   bool writing = false;
   TimePoint writeAt;
   TimePoint planAt;
@@ -101,7 +135,7 @@
   for (const auto& [service, serviceConfig] : config_->services) {
     ServiceState& state = stateOf(service);
     if (state.config.shards != serviceConfig.shards) {
-      state.loads = placement::ShardLoads(serviceConfig.shards);
+      state.load = LoadPlanning(serviceConfig.shards);
     }
     state.config = serviceConfig;
   }
@@ -152,6 +186,8 @@
   auto installed = std::make_shared<const placement::ShardMap>(std::move(map));
   if (state.map) {
     state.history.observe(*state.map, *installed, context_.now());
+    explainMoves(state, *installed);
+    noteOwnPlan(state, *installed);
   }
   state.map = installed;
   state.version = std::max(state.version, version);
@@ -166,6 +202,40 @@
   events_.mapAdopted(installed->service());
 }
 
+void MapController::explainMoves(ServiceState& state, const placement::ShardMap& next)
+{
+  std::vector<placement::Move> applied;
+  for (const auto& [shard, move] : state.ordered) {
+    if (next.contains(shard) && next.owner(shard) == move.to) {
+      applied.push_back(move);
+    }
+  }
+  for (const auto& [server, change] : state.wanted) {
+    if (change.kind != ChangeKind::Failover) {
+      continue;
+    }
+    for (const base::ShardId shard : state.map->shardsOf(server)) {
+      if (next.contains(shard) && next.owner(shard) != server) {
+        applied.push_back(
+          { shard, server, next.owner(shard), {}, placement::MoveReason::ServerLost });
+      }
+    }
+  }
+  state.history.explain(applied);
+  // An order for the old generation is refused by the holder, unless it is under way already.
+  std::erase_if(state.ordered, [&](const auto& entry) {
+    return !next.contains(entry.first) || next.owner(entry.first) != entry.second.from;
+  });
+}
+
+void MapController::noteOwnPlan(ServiceState& state, const placement::ShardMap& next)
+{
+  if (!state.ownWriter.empty() && next.writer() == state.ownWriter) {
+    state.load.applied(state.ownPlan, *state.map, next, context_.now());
+    state.ownWriter.clear();
+  }
+}
+
 void MapController::writeFor(const ServiceId& service,
                              const ServerId& server,
                              const ownership::WriteMap& change)
@@ -173,11 +243,12 @@
   stateOf(service).wanted[server] = change;
 }
 
-void MapController::bump(const ServiceId& service, Generation base)
+void MapController::bump(const ServiceId& service, const ServerId& server, Generation base)
 {
   ServiceState& state = stateOf(service);
   if (!state.map || state.map->generation() <= base) {
-    state.bumpAbove = base;
+    state.bumpAbove = std::max(state.bumpAbove.value_or(Generation()), base);
+    state.bumpWanted.insert(server);
   }
 }
 
@@ -186,6 +257,21 @@
   for (const auto& [service, state] : services_) {
     state->wanted.erase(server);
     state->planned.erase(server);
+    state->edits.erase(server);
+  }
+}
+
+bool MapController::isChanging(const ServiceState& state, const ServerId& server)
+{
+  return state.planned.contains(server) || state.edits.contains(server) ||
+         state.wanted.contains(server);
+}
+
+void MapController::discardOrder(const ChangeOrder& order)
+{
+  if (ServiceState* state = findState(order.service)) {
+    state->planned.erase(order.server);
+    state->edits.erase(order.server);
   }
 }
 
@@ -193,7 +279,7 @@
 {
   ServiceState* state = findState(order.service);
   if (state == nullptr || !state->map || state->map->generation() != order.generation ||
-      state->planned.contains(order.server)) {
+      isChanging(*state, order.server)) {
     return std::nullopt;
   }
   std::vector<placement::Move> moves;
@@ -218,6 +304,34 @@
   return shards;
 }
 
+bool MapController::acceptEdits(const ChangeOrder& order)
+{
+  ServiceState* state = findState(order.service);
+  if (state == nullptr || !state->map || state->map->generation() != order.generation ||
+      isChanging(*state, order.server)) {
+    return false;
+  }
+  placement::Plan edits;
+  for (const SuccessorOrder& change : order.successors) {
+    if (!state->map->contains(change.shard) || state->map->owner(change.shard) != order.server) {
+      return false;
+    }
+    placement::SuccessorChange planned{ change.shard, std::nullopt };
+    if (!change.successor.value().empty()) {
+      planned.successor = change.successor;
+    }
+    edits.successors.push_back(planned);
+  }
+  for (const base::ShardId shard : order.merges) {
+    if (state->map->overrideAt(shard) == nullptr || state->map->owner(shard) != order.server) {
+      return false;
+    }
+    edits.merges.push_back(shard);
+  }
+  state->edits[order.server] = std::move(edits);
+  return true;
+}
+
 std::optional<StoredMap> MapController::find(const ServiceId& service) const
 {
   const ServiceState* state = findState(service);
@@ -255,15 +369,22 @@
   return moves;
 }
 
-void MapController::observeLoad(const ServiceId& service,
-                                base::ShardId shard,
-                                double requestsPerSecond)
+void MapController::observeLoad(const base::VmId& from, ServiceLoad load)
 {
-  if (ServiceState* state = findState(service)) {
-    state->loads.observe(shard, requestsPerSecond, context_.now());
+  if (ServiceState* state = findState(load.service)) {
+    state->load.note(from, std::move(load), context_.now());
   }
 }
 
+std::optional<base::VmId> MapController::plannerOf(const ServiceId& service) const
+{
+  auto vms = entryVms();
+  for (auto& vm : vms) {
+    vm.live = vm.live && context_.members.isAlive(vm.id, context_.now());
+  }
+  return placement::planningVm(service, vms);
+}
+
 std::vector<placement::ServerView> MapController::listedServers(const ServiceState& state) const
 {
   std::vector<placement::ServerView> views;
@@ -335,6 +456,10 @@
     builder.setServer(server, entry)
       .setGeneration(Generation(map.generation().value() + 1))
       .setWriter(writer);
+    const auto edits = state.edits.find(server);
+    if (edits != state.edits.end()) {
+      applyEdits(builder, map, edits->second);
+    }
     return builder.build();
   }
   if (change.kind == ChangeKind::Failover) {
@@ -419,7 +544,7 @@
       install(state, std::move(*written), Version(body["version"].get<std::uint64_t>()));
     }
     if (isBump) {
-      events_.bumpWritten(service, generation);
+      events_.bumpWritten(std::exchange(state.bumpInWrite, {}), generation);
     }
     return;
   }
@@ -468,6 +593,7 @@
     state.version = version;
     placement::ShardMapBuilder builder(*state.map);
     builder.setGeneration(Generation(state.map->generation().value() + 1)).setWriter(writerToken());
+    state.bumpInWrite = std::exchange(state.bumpWanted, {});
     write(state, builder.build(), true);
   }
 }
@@ -477,12 +603,8 @@
   if (!config_->services.contains(state.config.service)) {
     return;
   }
-  auto vms = entryVms();
   const TimePoint now = context_.now();
-  for (auto& vm : vms) {
-    vm.live = vm.live && context_.members.isAlive(vm.id, now);
-  }
-  if (placement::planningVm(state.config.service, vms) != context_.self.vm) {
+  if (plannerOf(state.config.service) != context_.self.vm) {
     return;
   }
   try {
@@ -500,11 +622,18 @@
     if (repairVoters(state)) {
       return;
     }
+    state.load.refresh(*state.map, countUsable(views), now);
     placement::Plan plan = nextPlan(state);
-    orderMoves(state, plan);
+    orderChanges(state, plan);
+    // A split leaves owner and successor as they are, so that the planner may write it.
     plan.moves.clear();
+    plan.successors.clear();
+    plan.merges.clear();
     if (!plan.empty()) {
-      write(state, placement::applyPlan(*state.map, plan, writerToken()), false);
+      state.ownWriter = writerToken();
+      placement::ShardMap next = placement::applyPlan(*state.map, plan, state.ownWriter);
+      state.ownPlan = std::move(plan);
+      write(state, std::move(next), false);
     }
   } catch (const base::Error& error) {
     context_.log("can't plan " + state.config.service.value() + ": " + error.what());
@@ -535,7 +664,9 @@
   auto options = placement::PlannerOptions::forShardCount(state.config.shards);
   const auto& weights = state.config.weights;
   options.churnWeight = weights.churn / std::max(1e-9, weights.churn + weights.imbalance);
-  const placement::PlanRequest request{ *state.map, views, out, state.loads, state.history };
+  const auto& keys = state.load.hotKeys();
+  const placement::PlanRequest request{ *state.map,    views,    out,        state.load.loads(),
+                                        state.history, keys.hot, keys.cooled };
   return placement::PlacementPlanner(options).plan(request, context_.now());
 }
 
@@ -548,19 +679,33 @@
   return nextPlan(*state);
 }
 
-void MapController::orderMoves(ServiceState& state, const placement::Plan& plan)
+void MapController::orderChanges(ServiceState& state, const placement::Plan& plan)
 {
   std::map<ServerId, ChangeOrder> orders;
+  const auto orderFor = [&](const ServerId& server) -> ChangeOrder& {
+    ChangeOrder& order = orders[server];
+    order.service = state.config.service;
+    order.server = server;
+    order.generation = state.map->generation();
+    return order;
+  };
   for (const placement::Move& move : plan.moves) {
     if (move.reason == placement::MoveReason::ServerLost) {
       // The evicting holder writes these.
       continue;
     }
-    ChangeOrder& order = orders[move.from];
-    order.service = state.config.service;
-    order.server = move.from;
-    order.generation = state.map->generation();
-    order.moves.push_back({ move.shard, move.to, move.successor.value_or(ServerId()) });
+    state.ordered[move.shard] = move;
+    orderFor(move.from).moves.push_back(
+      { move.shard, move.to, move.successor.value_or(ServerId()) });
+  }
+  // Permits name successors, so that only the holder may change them; the same holds for a merge,
+  // which gives a key the successor of its shard.
+  for (const placement::SuccessorChange& change : plan.successors) {
+    orderFor(state.map->owner(change.shard))
+      .successors.push_back({ change.shard, change.successor.value_or(ServerId()) });
+  }
+  for (const base::ShardId shard : plan.merges) {
+    orderFor(state.map->owner(shard)).merges.push_back(shard);
   }
   for (const auto& [server, order] : orders) {
     events_.orderChange(order);
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -145,10 +145,11 @@
   services_.erase(service);
 }
 
-void OwnershipController::onBumpWritten(const base::ServiceId& service, base::Generation generation)
+void OwnershipController::onBumpWritten(const std::set<ServerId>& servers,
+                                        base::Generation generation)
 {
-  for (const auto& [server, managed] : managed_) {
-    if (managed->service == service) {
+  for (const ServerId& server : servers) {
+    if (Managed* managed = find(server)) {
       managed->tenancy.onBumpWritten(generation, context_.now());
     }
   }
@@ -401,7 +402,7 @@
 
 void OwnershipController::act(Managed& managed, const ownership::WriteBump& action)
 {
-  events_.bumpMap(managed.service, action.base);
+  events_.bumpMap(managed.service, managed.server, action.base);
 }
 
 void OwnershipController::act(Managed& managed, const ownership::ChangeResolved&)
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -220,7 +220,7 @@
     }
     if (result.again) {
       response.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
-      response.setHeader("Sycamore-Replayed", result.again->bodyKept ? "whole" : "without-body");
+      response.setHeader(kReplayedHeader, result.again->bodyKept ? "whole" : "without-body");
       response.send(result.again->status, result.again->body, result.again->contentType);
       return;
     }
