--- a/libs/control/include/control/Controller.h
+++ b/libs/control/include/control/Controller.h
@@ -83,12 +83,14 @@
   void writeMap(const base::ServiceId& service,
                 const base::ServerId& server,
                 const ownership::WriteMap& change) override;
-  void bumpMap(const base::ServiceId& service, base::Generation base) override;
+  void bumpMap(const base::ServiceId& service,
+               const base::ServerId& server,
+               base::Generation base) override;
   void changeResolved(const base::ServerId& server) override;
   void holdersChanged() override;
   // MapEvents.
   void mapAdopted(const base::ServiceId& service) override;
-  void bumpWritten(const base::ServiceId& service, base::Generation generation) override;
+  void bumpWritten(const std::set<base::ServerId>& servers, base::Generation generation) override;
   void orderChange(const ChangeOrder& order) override;
   bool isEvicted(const base::ServerId& server) const override;
   bool isDraining(const base::ServerId& server) const override;
--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -94,9 +94,9 @@
   maps_.writeFor(service, server, change);
 }
 
-void Controller::bumpMap(const ServiceId& service, base::Generation base)
+void Controller::bumpMap(const ServiceId& service, const ServerId& server, base::Generation base)
 {
-  maps_.bump(service, base);
+  maps_.bump(service, server, base);
 }
 
 void Controller::changeResolved(const ServerId& server)
@@ -121,9 +121,9 @@
   holdersChanged();
 }
 
-void Controller::bumpWritten(const ServiceId& service, base::Generation generation)
+void Controller::bumpWritten(const std::set<ServerId>& servers, base::Generation generation)
 {
-  ownership_.onBumpWritten(service, generation);
+  ownership_.onBumpWritten(servers, generation);
 }
 
 bool Controller::isEvicted(const ServerId& server) const
@@ -431,16 +431,22 @@
 
 void Controller::executeOrder(const ChangeOrder& order)
 {
-  if (!order.voters.empty()) {
-    const auto stored = maps_.find(order.service);
-    if (stored && stored->map->generation() == order.generation) {
-      ownership_.startVoterChange(order.server, order.voters);
+  if (!order.moves.empty()) {
+    const auto shards = maps_.acceptMoves(order);
+    if (shards && !ownership_.startMove(order.server, *shards)) {
+      maps_.discardOrder(order);
     }
     return;
   }
-  const auto shards = maps_.acceptMoves(order);
-  if (shards && !ownership_.startMove(order.server, *shards)) {
-    maps_.changeResolved(order.server);
+  const auto stored = maps_.find(order.service);
+  const auto* entry = stored ? stored->map->find(order.server) : nullptr;
+  if (entry == nullptr || !maps_.acceptEdits(order)) {
+    return;
+  }
+  // A change of successors alone rewrites the voters as they are: it needs the same floor.
+  const auto& voters = order.voters.empty() ? entry->voters : order.voters;
+  if (!ownership_.startVoterChange(order.server, voters)) {
+    maps_.discardOrder(order);
   }
 }
 
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace sycamore::control {
 
@@ -52,6 +53,19 @@
   }));
 }
 
+// Applies changes of successors and merges, which no server loses a shard by.
+void applyEdits(placement::ShardMapBuilder& builder,
+                const placement::ShardMap& map,
+                const placement::Plan& edits)
+{
+  for (const placement::SuccessorChange& change : edits.successors) {
+    builder.assign(change.shard, map.owner(change.shard), change.successor);
+  }
+  for (const base::ShardId shard : edits.merges) {
+    builder.removeOverride(shard);
+  }
+}
+
 } // namespace
 
 struct MapController::ServiceState
@@ -76,7 +90,13 @@
   // The latest plan that this VM wrote itself, and the token of that write.
   placement::Plan ownPlan;
   std::string ownWriter;
+  // Successor changes and merges that go along with a wanted write of kind Voters.
+  std::map<ServerId, placement::Plan> edits;
   std::optional<Generation> bumpAbove;
+  // Tenancies that asked for a newer map. Those that asked before its write began may take it as
+  // proof.
+  std::set<ServerId> bumpWanted;
+  std::set<ServerId> bumpInWrite;
   bool writing = false;
   TimePoint writeAt;
   TimePoint planAt;
@@ -223,11 +243,12 @@
   stateOf(service).wanted[server] = change;
 }
 
-void MapController::bump(const ServiceId& service, Generation base)
+void MapController::bump(const ServiceId& service, const ServerId& server, Generation base)
 {
   ServiceState& state = stateOf(service);
   if (!state.map || state.map->generation() <= base) {
-    state.bumpAbove = base;
+    state.bumpAbove = std::max(state.bumpAbove.value_or(Generation()), base);
+    state.bumpWanted.insert(server);
   }
 }
 
@@ -236,6 +257,21 @@
   for (const auto& [service, state] : services_) {
     state->wanted.erase(server);
     state->planned.erase(server);
+    state->edits.erase(server);
+  }
+}
+
+bool MapController::isChanging(const ServiceState& state, const ServerId& server)
+{
+  return state.planned.contains(server) || state.edits.contains(server) ||
+         state.wanted.contains(server);
+}
+
+void MapController::discardOrder(const ChangeOrder& order)
+{
+  if (ServiceState* state = findState(order.service)) {
+    state->planned.erase(order.server);
+    state->edits.erase(order.server);
   }
 }
 
@@ -243,7 +279,7 @@
 {
   ServiceState* state = findState(order.service);
   if (state == nullptr || !state->map || state->map->generation() != order.generation ||
-      state->planned.contains(order.server)) {
+      isChanging(*state, order.server)) {
     return std::nullopt;
   }
   std::vector<placement::Move> moves;
@@ -268,6 +304,34 @@
   return shards;
 }
 
+bool MapController::acceptEdits(const ChangeOrder& order)
+{
+  ServiceState* state = findState(order.service);
+  if (state == nullptr || !state->map || state->map->generation() != order.generation ||
+      isChanging(*state, order.server)) {
+    return false;
+  }
+  placement::Plan edits;
+  for (const SuccessorOrder& change : order.successors) {
+    if (!state->map->contains(change.shard) || state->map->owner(change.shard) != order.server) {
+      return false;
+    }
+    placement::SuccessorChange planned{ change.shard, std::nullopt };
+    if (!change.successor.value().empty()) {
+      planned.successor = change.successor;
+    }
+    edits.successors.push_back(planned);
+  }
+  for (const base::ShardId shard : order.merges) {
+    if (state->map->overrideAt(shard) == nullptr || state->map->owner(shard) != order.server) {
+      return false;
+    }
+    edits.merges.push_back(shard);
+  }
+  state->edits[order.server] = std::move(edits);
+  return true;
+}
+
 std::optional<StoredMap> MapController::find(const ServiceId& service) const
 {
   const ServiceState* state = findState(service);
@@ -392,6 +456,10 @@
     builder.setServer(server, entry)
       .setGeneration(Generation(map.generation().value() + 1))
       .setWriter(writer);
+    const auto edits = state.edits.find(server);
+    if (edits != state.edits.end()) {
+      applyEdits(builder, map, edits->second);
+    }
     return builder.build();
   }
   if (change.kind == ChangeKind::Failover) {
@@ -476,7 +544,7 @@
       install(state, std::move(*written), Version(body["version"].get<std::uint64_t>()));
     }
     if (isBump) {
-      events_.bumpWritten(service, generation);
+      events_.bumpWritten(std::exchange(state.bumpInWrite, {}), generation);
     }
     return;
   }
@@ -525,6 +593,7 @@
     state.version = version;
     placement::ShardMapBuilder builder(*state.map);
     builder.setGeneration(Generation(state.map->generation().value() + 1)).setWriter(writerToken());
+    state.bumpInWrite = std::exchange(state.bumpWanted, {});
     write(state, builder.build(), true);
   }
 }
@@ -555,8 +624,11 @@
     }
     state.load.refresh(*state.map, countUsable(views), now);
     placement::Plan plan = nextPlan(state);
-    orderMoves(state, plan);
+    orderChanges(state, plan);
+    // A split leaves owner and successor as they are, so that the planner may write it.
     plan.moves.clear();
+    plan.successors.clear();
+    plan.merges.clear();
     if (!plan.empty()) {
       state.ownWriter = writerToken();
       placement::ShardMap next = placement::applyPlan(*state.map, plan, state.ownWriter);
@@ -607,20 +679,33 @@
   return nextPlan(*state);
 }
 
-void MapController::orderMoves(ServiceState& state, const placement::Plan& plan)
+void MapController::orderChanges(ServiceState& state, const placement::Plan& plan)
 {
   std::map<ServerId, ChangeOrder> orders;
+  const auto orderFor = [&](const ServerId& server) -> ChangeOrder& {
+    ChangeOrder& order = orders[server];
+    order.service = state.config.service;
+    order.server = server;
+    order.generation = state.map->generation();
+    return order;
+  };
   for (const placement::Move& move : plan.moves) {
     if (move.reason == placement::MoveReason::ServerLost) {
       // The evicting holder writes these.
       continue;
     }
     state.ordered[move.shard] = move;
-    ChangeOrder& order = orders[move.from];
-    order.service = state.config.service;
-    order.server = move.from;
-    order.generation = state.map->generation();
-    order.moves.push_back({ move.shard, move.to, move.successor.value_or(ServerId()) });
+    orderFor(move.from).moves.push_back(
+      { move.shard, move.to, move.successor.value_or(ServerId()) });
+  }
+  // Permits name successors, so that only the holder may change them; the same holds for a merge,
+  // which gives a key the successor of its shard.
+  for (const placement::SuccessorChange& change : plan.successors) {
+    orderFor(state.map->owner(change.shard))
+      .successors.push_back({ change.shard, change.successor.value_or(ServerId()) });
+  }
+  for (const base::ShardId shard : plan.merges) {
+    orderFor(state.map->owner(shard)).merges.push_back(shard);
   }
   for (const auto& [server, order] : orders) {
     events_.orderChange(order);
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -104,6 +104,7 @@
   services_[config.service] = std::make_unique<ServiceShards>(map);
   for (const auto& server : map->servers()) {
     ownership::ServerRow row = rowOf(*map, server.id);
+    row.checksTokens = config.serversCheckTokens;
     const bool isVoter =
       std::find(row.voters.begin(), row.voters.end(), context_.self.vm) != row.voters.end();
     Managed* managed = find(server.id);
@@ -122,7 +123,9 @@
   }
   for (const auto& [server, managed] : managed_) {
     if (managed->service == config.service && map->find(server) == nullptr) {
-      perform(*managed, managed->tenancy.onMap(rowOf(*map, server), now));
+      ownership::ServerRow row = rowOf(*map, server);
+      row.checksTokens = config.serversCheckTokens;
+      perform(*managed, managed->tenancy.onMap(row, now));
     }
   }
   flushVotes();
@@ -142,10 +145,11 @@
   services_.erase(service);
 }
 
-void OwnershipController::onBumpWritten(const base::ServiceId& service, base::Generation generation)
+void OwnershipController::onBumpWritten(const std::set<ServerId>& servers,
+                                        base::Generation generation)
 {
-  for (const auto& [server, managed] : managed_) {
-    if (managed->service == service) {
+  for (const ServerId& server : servers) {
+    if (Managed* managed = find(server)) {
       managed->tenancy.onBumpWritten(generation, context_.now());
     }
   }
@@ -398,7 +402,7 @@
 
 void OwnershipController::act(Managed& managed, const ownership::WriteBump& action)
 {
-  events_.bumpMap(managed.service, action.base);
+  events_.bumpMap(managed.service, managed.server, action.base);
 }
 
 void OwnershipController::act(Managed& managed, const ownership::ChangeResolved&)
--- a/libs/control/src/PeerCodec.cpp
+++ b/libs/control/src/PeerCodec.cpp
@@ -91,6 +91,9 @@
     value["proof"] =
       json::array({ request.proof->voter.value(), request.proof->generation.value() });
   }
+  if (!request.checksTokens) {
+    value["unchecked"] = true;
+  }
   if (request.resign) {
     value["resign"] = true;
   }
@@ -113,6 +116,7 @@
     request.proof = ownership::FloorProof{ strongOf<base::Incarnation>(value["proof"].at(0)),
                                            strongOf<base::Generation>(value["proof"].at(1)) };
   }
+  request.checksTokens = !value.value("unchecked", false);
   request.resign = value.value("resign", false);
   return request;
 }
@@ -372,11 +376,21 @@
   for (const MoveOrder& move : order.moves) {
     moves.push_back(json::array({ move.shard.value(), move.to.value(), move.successor.value() }));
   }
+  json successors = json::array();
+  for (const SuccessorOrder& change : order.successors) {
+    successors.push_back(json::array({ change.shard.value(), change.successor.value() }));
+  }
+  json merges = json::array();
+  for (const base::ShardId shard : order.merges) {
+    merges.push_back(shard.value());
+  }
   return json{
     { "service", order.service.value() },
     { "server", order.server.value() },
     { "generation", order.generation.value() },
     { "moves", moves },
+    { "successors", successors },
+    { "merges", merges },
     { "voters", textsOf(order.voters) }
   }.dump();
 }
@@ -393,6 +407,11 @@
                         strongOf<base::ServerId>(item.at(1)),
                         strongOf<base::ServerId>(item.at(2)) };
     });
+    order.successors = listOf<SuccessorOrder>(value.at("successors"), [](const json& item) {
+      return SuccessorOrder{ strongOf<base::ShardId>(item.at(0)),
+                             strongOf<base::ServerId>(item.at(1)) };
+    });
+    order.merges = listOf<base::ShardId>(value.at("merges"), strongOf<base::ShardId>);
     order.voters = idsOf<base::VmId>(value.at("voters"));
     return order;
   });
--- a/libs/router/include/router/Headers.h
+++ b/libs/router/include/router/Headers.h
@@ -17,6 +17,9 @@
 inline constexpr const char* kShardHeader = "Sycamore-Shard";
 inline constexpr const char* kTermHeader = "Sycamore-Term";
 
+// On the answer to a resend that was not run again: "whole", or "without-body".
+inline constexpr const char* kReplayedHeader = "Sycamore-Replayed";
+
 // Between entry VMs: the wait before the next attempt in milliseconds. Retry-After has whole
 // seconds, far longer than a failover.
 inline constexpr const char* kRetryAfterMsHeader = "Sycamore-Retry-After-Ms";
--- a/libs/router/src/Answer.cpp
+++ b/libs/router/src/Answer.cpp
@@ -69,6 +69,9 @@
   response_.setHeader(kServerHeader, server.value_or(from.value()));
   response_.setHeader(kOutcomeHeader, std::string(outcomeWord(requests::Outcome::Ran)));
   response_.setHeader(kRequestIdHeader, id_.value());
+  if (const auto replayed = head.header("sycamore-replayed")) {
+    response_.setHeader(kReplayedHeader, *replayed);
+  }
   committed_ = true;
   const bool bodyless = head.status == 204 || head.status == 304;
   if (!response_.begin(head.status, bodyless ? std::optional<std::size_t>(0) : lengthOf(head))) {
