Move loads of split and merged keys when the map shows them

Cause: merges are now written by the holders of servers, so the plan that the planning VM wrote itself no longer contains them, and ShardLoads::merge was never called. A planner that wrote a split and lost its answer could miss it too.

Ruled out: keeping the ordered merges until a map contains them, since a VM that takes over planning in between doesn't know them.

Change: LoadPlanning compares each newly adopted map with the one before it and splits or merges the loads of the overrides that differ.

--- a/libs/control/include/control/MapController.h
+++ b/libs/control/include/control/MapController.h
@@ -113,7 +113,6 @@
   void install(ServiceState& state, placement::ShardMap map, base::Version version);
   // Names the reasons of the moves of this VM that the newly observed map contains.
   void explainMoves(ServiceState& state, const placement::ShardMap& next);
-  void noteOwnPlan(ServiceState& state, const placement::ShardMap& next);
   // Servers as the platform's list shows them: decides which servers the map names.
   std::vector<placement::ServerView> listedServers(const ServiceState& state) const;
   // Servers as their holders see them: decides which of them get shards.
--- a/libs/control/src/LoadPlanning.cpp
+++ b/libs/control/src/LoadPlanning.cpp
@@ -24,6 +24,12 @@
 // Taken in full, the chance differences of the first seconds would move shards back and forth.
 constexpr double kHalfBelief = 30.0;
 
+bool holds(const placement::ShardMap& map, const placement::KeyOverride& hot)
+{
+  const placement::KeyOverride* known = map.overrideOf(hot.key);
+  return known != nullptr && known->shard == hot.shard;
+}
+
 } // namespace
 
 void LoadPlanning::note(const base::VmId& from, ServiceLoad load, base::TimePoint now)
@@ -80,19 +86,19 @@
   });
 }
 
-void LoadPlanning::applied(const placement::Plan& plan,
-                           const placement::ShardMap& before,
-                           const placement::ShardMap& after,
-                           base::TimePoint now)
+void LoadPlanning::mapChanged(const placement::ShardMap& before,
+                              const placement::ShardMap& after,
+                              base::TimePoint now)
 {
-  for (const base::Key& key : plan.splits) {
-    if (const auto* hot = after.overrideOf(key)) {
-      loads_.split(after.homeShardOf(key), hot->shard, rateOf(key), now);
+  // Merges first: an index that is free again may already be another key's.
+  for (const placement::KeyOverride& hot : before.overrides()) {
+    if (!holds(after, hot)) {
+      loads_.merge(hot.shard, before.homeShardOf(hot.key));
     }
   }
-  for (const base::ShardId shard : plan.merges) {
-    if (const auto* hot = before.overrideAt(shard)) {
-      loads_.merge(shard, before.homeShardOf(hot->key));
+  for (const placement::KeyOverride& hot : after.overrides()) {
+    if (!holds(before, hot)) {
+      loads_.split(after.homeShardOf(hot.key), hot.shard, rateOf(hot.key), now);
     }
   }
 }
--- a/libs/control/src/LoadPlanning.h
+++ b/libs/control/src/LoadPlanning.h
@@ -3,7 +3,6 @@
 #include "LoadBook.h"
 
 #include <placement/HotKeyPolicy.h>
-#include <placement/Plan.h>
 #include <placement/ShardLoads.h>
 
 namespace sycamore::control {
@@ -21,11 +20,11 @@
   void note(const base::VmId& from, ServiceLoad load, base::TimePoint now);
   // Takes the reports into account, once a second; called before each planning step.
   void refresh(const placement::ShardMap& map, std::size_t serverCount, base::TimePoint now);
-  // A plan of this VM is in effect: moves loads with split-out and returned keys.
-  void applied(const placement::Plan& plan,
-               const placement::ShardMap& before,
-               const placement::ShardMap& after,
-               base::TimePoint now);
+  // A newer map is in use: moves loads with the keys that were split out or returned. The holders
+  // of servers write merges, so the plans of this VM don't tell when they take effect.
+  void mapChanged(const placement::ShardMap& before,
+                  const placement::ShardMap& after,
+                  base::TimePoint now);
 
   const placement::ShardLoads& loads() const { return loads_; }
   const placement::HotKeyPolicy::Decision& hotKeys() const { return decision_; }
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -87,9 +87,6 @@
   std::map<ServerId, std::vector<placement::Move>> planned;
   // The latest moves that this VM ordered of holders, to explain them once they are in effect.
   std::map<base::ShardId, placement::Move> ordered;
-  // The latest plan that this VM wrote itself, and the token of that write.
-  placement::Plan ownPlan;
-  std::string ownWriter;
   // Successor changes and merges that go along with a wanted write of kind Voters.
   std::map<ServerId, placement::Plan> edits;
   std::optional<Generation> bumpAbove;
@@ -187,7 +184,7 @@
   if (state.map) {
     state.history.observe(*state.map, *installed, context_.now());
     explainMoves(state, *installed);
-    noteOwnPlan(state, *installed);
+    state.load.mapChanged(*state.map, *installed, context_.now());
   }
   state.map = installed;
   state.version = std::max(state.version, version);
@@ -228,14 +225,6 @@
   });
 }
 
-void MapController::noteOwnPlan(ServiceState& state, const placement::ShardMap& next)
-{
-  if (!state.ownWriter.empty() && next.writer() == state.ownWriter) {
-    state.load.applied(state.ownPlan, *state.map, next, context_.now());
-    state.ownWriter.clear();
-  }
-}
-
 void MapController::writeFor(const ServiceId& service,
                              const ServerId& server,
                              const ownership::WriteMap& change)
@@ -630,10 +619,7 @@
     plan.successors.clear();
     plan.merges.clear();
     if (!plan.empty()) {
-      state.ownWriter = writerToken();
-      placement::ShardMap next = placement::applyPlan(*state.map, plan, state.ownWriter);
-      state.ownPlan = std::move(plan);
-      write(state, std::move(next), false);
+      write(state, placement::applyPlan(*state.map, plan, writerToken()), false);
     }
   } catch (const base::Error& error) {
     context_.log("can't plan " + state.config.service.value() + ": " + error.what());
--- a/libs/control/tests/LoadTest.cpp
+++ b/libs/control/tests/LoadTest.cpp
@@ -160,13 +160,13 @@
   splits.splits = plan.splits;
   const ShardMap next = applyPlan(map, splits, "test");
   const double before = planning.loads().load(map.shardOf(kHot));
-  planning.applied(splits, map, next, now);
+  planning.mapChanged(map, next, now);
   CHECK(planning.loads().load(next.shardOf(kHot)) == doctest::Approx(120));
   CHECK(planning.loads().load(next.homeShardOf(kHot)) == std::max(0.0, before - 120));
 
   Plan merges;
   merges.merges.push_back(next.shardOf(kHot));
-  planning.applied(merges, next, applyPlan(next, merges, "test"), now);
+  planning.mapChanged(next, applyPlan(next, merges, "test"), now);
   CHECK(planning.loads().load(map.shardOf(kHot)) == doctest::Approx(std::max(before, 120.0)));
 }
 
