Report ready only after the routes are published

Cause: /readyz answered ready as soon as the control thread knew the configuration, up to a tick before the traffic threads did; a rolling restart refused 2 of 22465 sends as unknown-service. Change: readiness is set by the publication of the routes.

--- a/libs/control/include/control/Controller.h
+++ b/libs/control/include/control/Controller.h
@@ -102,6 +102,7 @@
   void fetchMap(const base::VmId& peer, const base::ServiceId& service);
   void tellQuarantine(const base::VmId& peer);
   void executeOrder(const ChangeOrder& order);
+  bool knowsAllRoutes() const;
   void publishRoutes();
   router::ServerRoute routeOf(const base::ServiceId& service,
                               const placement::MapServer& server) const;
@@ -122,6 +123,8 @@
   bool leaving_ = false;
   bool configKnown_ = false;
   bool mapsKnown_ = false;
+  // Set once routes to all known services were published; never taken back.
+  bool routesReady_ = false;
   base::TimePoint nextHeartbeat_;
   base::TimePoint nextRoutes_;
   std::set<std::pair<base::VmId, base::ServiceId>> mapFetches_;
--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -405,7 +405,12 @@
 
 bool Controller::isReady() const
 {
-  if (!configKnown_ || leaving_) {
+  return routesReady_ && !leaving_;
+}
+
+bool Controller::knowsAllRoutes() const
+{
+  if (!configKnown_) {
     return false;
   }
   // A service gets its map with its first server; until then the others are served.
@@ -480,6 +485,8 @@
   }
   std::erase_if(leavingSince_, [&](const auto& entry) { return !leaving.contains(entry.first); });
   routing_.publish(std::make_shared<const router::RoutingTable>(snapshot, std::move(services)));
+  // Callers may come only once the traffic threads see what the control thread knows.
+  routesReady_ = routesReady_ || knowsAllRoutes();
 }
 
 } // namespace sycamore::control
