--- a/testing/cluster/include/test_cluster/Cluster.h
+++ b/testing/cluster/include/test_cluster/Cluster.h
@@ -61,14 +61,19 @@
   // The stored shard map, or null.
   nlohmann::json storedMap(const std::string& service) const;
 
+  // The owner of each shard in the stored map, by index.
+  std::vector<std::string> owners(const std::string& service) const;
+  // Waits until the owners have not changed for 2 s; throws base::Error after 30 s.
+  void waitBalanced(const std::string& service) const;
+
   // The entry VM that holds the server's tenancy, or "".
   std::string holderOf(const std::string& server) const;
 
   // Waits until each entry VM is ready for callers; throws base::Error after the timeout.
   void waitReady(base::Duration timeout) const;
 
-  // Whether every running server is held and has three running voters, and no shard belongs to
-  // another than a running server.
+  // Whether every running server is held and has three running voters, and no shard belongs, or
+  // would pass, to another than a running server.
   bool isSettled() const;
   // Waits for it; throws base::Error with what is missing.
   void waitSettled(base::Duration timeout) const;
--- a/testing/cluster/src/Cluster.cpp
+++ b/testing/cluster/src/Cluster.cpp
@@ -225,6 +225,34 @@
   }
 }
 
+std::vector<std::string> Cluster::owners(const std::string& service) const
+{
+  const json map = storedMap(service);
+  std::vector<std::string> owners(map.at("shard_count").get<std::size_t>());
+  for (const json& row : map.at("shards")) {
+    owners.at(row.at(0).get<std::size_t>()) = row.at(1).get<std::string>();
+  }
+  return owners;
+}
+
+void Cluster::waitBalanced(const std::string& service) const
+{
+  const base::SteadyClock clock;
+  auto known = owners(service);
+  base::TimePoint since = clock.now();
+  const auto quiet = [&] {
+    auto current = owners(service);
+    if (current != known) {
+      known = std::move(current);
+      since = clock.now();
+    }
+    return clock.now() - since >= 2s;
+  };
+  if (!test_process::waitUntil(quiet, 30s)) {
+    throw base::Error("the owners of " + service + " keep changing");
+  }
+}
+
 std::string Cluster::holderOf(const std::string& server) const
 {
   for (const auto& [id, vm] : vms_) {
@@ -268,6 +296,11 @@
       if (!running.contains(row.at(1).get<std::string>())) {
         return service + " shard " + row.at(0).dump() + " belongs to " + row.at(1).dump();
       }
+      // With one server there is no other to succeed it.
+      const std::string successor = row.at(2).is_string() ? row.at(2).get<std::string>() : "";
+      if (serverIds(service).size() > 1 && !running.contains(successor)) {
+        return service + " shard " + row.at(0).dump() + " has the successor " + row.at(2).dump();
+      }
     }
     for (const std::string& id : serverIds(service)) {
       if (running.contains(id) && !map.at("servers").contains(id)) {
