--- a/tests/e2e/RestartTest.cpp
+++ b/tests/e2e/RestartTest.cpp
@@ -1,5 +1,6 @@
 #include "Support.h"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <test_process/WaitUntil.h>
 
@@ -29,6 +30,31 @@
     CHECK_MESSAGE(violations.empty(), describe(violations));
   }
 
+  // Guards against servers that stay bound to voters which are gone for good. Long: the change of
+  // voters is forced only 30 s after they left the platform's list.
+  TEST_CASE("servers are served again after all entry VMs were replaced" *
+            doctest::skip(std::getenv("SYCAMORE_E2E_LONG") == nullptr))
+  {
+    Cluster cluster({ .labelServers = 0 });
+    cluster.waitBalanced("layout");
+    const auto before = cluster.owners("layout");
+    const auto old = cluster.vmIds();
+    for (const std::string& id : old) {
+      cluster.vm(id).kill();
+    }
+    for (const std::string& id : old) {
+      const std::string domain = cluster.vm(id).options().domain;
+      cluster.removeVm(id);
+      cluster.startVm(id + "-new", domain);
+    }
+    LoadGenerator load(cluster.balancer(), { .unkeyed = false });
+    CHECK(e2e::servesMore(load, 500, 60s));
+    cluster.waitSettled(20s);
+    CHECK(cluster.owners("layout") == before);
+    const auto violations = cluster.check(load.stop());
+    CHECK_MESSAGE(violations.empty(), describe(violations));
+  }
+
   // Guards against a rolling update that callers notice. They go where /readyz says.
   TEST_CASE("a rolling restart of all entry VMs fails no request")
   {
