Fit benchmark figures over their sizes; measure entry VMs as processes

Cause: capacity needs slopes over sizes and the cost of whole daemons, which the library benchmarks don't show.

Change: benchmarks/process/run.sh starts the platform stub, entry VMs and backend stubs on loopback and measures latency, processor time and idle cost; scripts/bench_fit.sh fits figures by least squares and prints the residual.

Ruled out: a counting relay between daemons, since a daemon announces its own bound peer address; counters in /proc/PID/io, which leave out send and recv. Bytes come from the kernel's counters of each TCP connection.

--- a/benchmarks/process/run.sh
+++ b/benchmarks/process/run.sh
@@ -2,7 +2,7 @@
 # Measures entry VMs as processes on loopback and prints figures as JSON lines.
 #   benchmarks/process/run.sh process   today's sizes of both teams: latency, processor time, idle cost
 #   benchmarks/process/run.sh scaling   idle cost over entry VMs, backend servers and shards
-# Environment: BUILD_DIR (build), SEED (1), PROCESS_RUNS (3), IDLE_SECONDS (5), SIZES (all).
+# Environment: BUILD_DIR (build), SEED (1), PROCESS_RUNS (3), IDLE_SECONDS (5), SCALING_RUNS (2), SIZES (all).
 #
 # Bytes are the payload that the kernel counts for each TCP connection of a daemon (bytes_sent and
 # bytes_received of "ss -tin"), with HTTP headers and without TCP/IP headers. A connection that ends
@@ -38,13 +38,14 @@
 launch() { # NAME PROGRAM ARGS...
   local name=$1 log="$scratch/$1.out" deadline=$((SECONDS + 30))
   shift
-  # The inherited standard output holds the figures.
+  # An earlier cluster of this run may have left a file with the old address.
+  rm -f "$log"
   "$@" > "$log" 2> "$scratch/$name.err" < /dev/null &
   pids+=($!)
-  until line=$(grep -m1 '^listening ' "$log"); do
+  until line=$(grep -sm1 '^listening ' "$log"); do
     if [ $SECONDS -ge $deadline ] || ! kill -0 "${pids[-1]}" 2> /dev/null; then
       echo "run.sh: $name did not start:" >&2
-      tail -5 "$scratch/$name.err" >&2
+      tail -n 5 "$scratch/$name.err" >&2
       return 1
     fi
     sleep 0.02
@@ -78,7 +79,7 @@
 # Starts the platform stub, the backend servers and the entry VMs, and waits until requests run.
 start_cluster() { # ENTRY-VMS SERVERS SHARDS SLOTS
   local vms=$1 servers=$2 shards=$3 slots=$4 i domain deadline
-  launch platform "$build/testing/platform_stub/platform_stub" --port 0
+  launch platform "$build/testing/platform_stub/platform_stub" --port 0 || return 1
   platform=${line#listening }
   for domain in a b c; do
     put "/objects/config/domain.$domain?if_version=0" "{\"domain\":\"$domain\",\"state\":\"in\"}"
@@ -93,7 +94,7 @@
   for ((i = 0; i < servers; ++i)); do
     domain=${names[$((i % 3))]}
     launch "server-$i" "$build/testing/backend_stub/backend_stub" --port 0 \
-      --server "$service-$i" --slots "$slots" --service_time_ms 1
+      --server "$service-$i" --slots "$slots" --service_time_ms 1 || return 1
     put "/admin/vms/$service-$i" "{\"role\":\"backend\",\"address\":\"${line#listening }\",
       \"domain\":\"$domain\",\"service\":\"$service\",\"state\":\"live\"}"
   done
@@ -103,9 +104,9 @@
 {"vm": "vm-$i", "domain": "$domain", "platform": "$platform", "seed_peers": [],
  "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "status": "127.0.0.1:0",
             "operators": "127.0.0.1:0"},
- "operators": {"allow_without_token": true}, "log_level": "info"}
+ "limits": {}, "operators": {"allow_without_token": true}, "log_level": "info"}
 SETTINGS
-    launch "vm-$i" "$build/programs/sycamored/sycamored" --settings="$scratch/vm-$i.json"
+    launch "vm-$i" "$build/programs/sycamored/sycamored" --settings="$scratch/vm-$i.json" || return 1
     daemons+=("${pids[-1]}")
     callers+=("$(field callers)")
     statuses+=("$(field status)")
@@ -118,7 +119,7 @@
     grants_steady "$servers"; do
     if [ $SECONDS -ge $deadline ]; then
       echo "run.sh: $vms entry VMs and $servers servers did not settle" >&2
-      tail -3 "$scratch"/vm-*.err >&2
+      for i in "$scratch"/vm-*.err; do tail -n 2 "$i" >&2; done
       return 1
     fi
   done
@@ -171,10 +172,10 @@
 measure_idle() {
   local vms=${#daemons[@]} t0 t1 c0 c1 p0 p1 m0 m1 name
   local -A first
+  m0=$(now_ns)
   for name in heartbeats_sent vote_batches vote_requests grants_sent; do
     first[$name]=$(metric_sum "${name}_total")
   done
-  m0=$(now_ns)
   p0=$(platform_calls)
   connections > "$scratch/before"
   t0=$(now_ns); c0=$(cpu_ticks)
@@ -295,10 +296,13 @@
     measure_team dixie-south 10 20 6
     ;;
   scaling)
-    for size in ${SIZES:-3,8,256 6,8,256 9,8,256 12,8,256 6,4,256 6,16,256 6,32,256 12,32,256 3,32,256 \
-      6,8,64 6,8,1024 6,8,4096}; do
-      IFS=, read -r vms servers shards <<< "$size"
-      measure_size "$vms" "$servers" "$shards"
+    for round in $(seq "${SCALING_RUNS:-2}"); do
+      echo "run.sh: round $round of the sizes" >&2
+      for size in ${SIZES:-3,8,256 6,8,256 9,8,256 12,8,256 6,4,256 6,16,256 6,32,256 12,32,256 3,32,256 \
+        6,8,64 6,8,1024 6,8,4096}; do
+        IFS=, read -r vms servers shards <<< "$size"
+        measure_size "$vms" "$servers" "$shards"
+      done
     done
     ;;
   *)
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -59,8 +59,14 @@
       BUILD_DIR=$build SEED=$seed benchmarks/process/run.sh "$1" > "$out/$1.lines" ;;
     *) echo "bench.sh: no benchmark '$1'; there are: ${all[*]}" >&2; exit 2 ;;
   esac
-  jq -s --slurpfile bounds "$bounds" '
-    map(. as $figure
+  # The scaling benchmark measures each size several times, interleaved; the median counts.
+  jq -s --slurpfile bounds "$bounds" --arg benchmark "$1" '
+    (if $benchmark == "scaling" then
+       group_by([.name, .scenario])
+       | map(sort_by(.value) as $all | $all[(($all | length) - 1) / 2 | floor]
+             | .runs = ($all | length))
+     else . end)
+    | map(. as $figure
         | ([$bounds[0][] | select(.name == $figure.name
               and (.scenario as $pattern | $figure.scenario | test("^(" + $pattern + ")$")))] | first) as $bound
         | if $bound then .bound = $bound.bound else . end)' \
--- a/scripts/bench_fit.sh
+++ b/scripts/bench_fit.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Fits a figure of the scaling benchmark over its sizes by least squares.
+# Fits a figure of the scaling, planning or ownership benchmark over its sizes by least squares.
 #   scripts/bench_fit.sh FILE NAME MODEL...   e.g. build/bench/scaling.json control_bytes_per_s 1 vms servers
 # Terms: 1 (constant), vms, servers, shards, held (servers/vms), and products of two such as vms*held.
 # SELECT (a jq condition on .vms, .servers, .shards) restricts the sizes, e.g. SELECT='.servers==8'.
@@ -9,8 +9,12 @@
 file=$1 name=$2
 shift 2
 jq -r --arg name "$name" '
-  .[] | select(.name == $name and (.scenario | test("^vms="))) | .value as $value
-  | (.scenario | split(",") | map(split("=") | {(.[0]): (.[1] | tonumber)}) | add)
+  .[] | select(.name == $name and (.scenario | test("^(vms|size)="))) | .value as $value
+  | (if (.scenario | startswith("size=")) then
+       # Planning: shards x servers; ownership: tenancies, taken as servers of one VM.
+       (.scenario[5:] | split("x") | map(tonumber))
+       | {vms: 1, servers: .[-1], shards: (if length == 2 then .[0] else 1 end)}
+     else (.scenario | split(",") | map(split("=") | {(.[0]): (.[1] | tonumber)}) | add) end)
   | select('"${SELECT:-true}"')
   | [.vms, .servers, .shards, $value] | @tsv' "$file" |
   awk -v terms="$*" '
