Read the rest of a body before a refusal or replay

Cause: a refusal of a caller's request before its body was read (unknown service or method, no key, too long) left the body on the connection. The server then closed the connection without announcing it, so that a caller's next request on it was lost, as was the refusal of a long body. Ruled out: the caller's pool, which drops connections whose answer says that they close. Change: the body is read up to 1 MiB first; beyond that the answer says that the connection closes. The same for answers from the ledger.

--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -213,6 +213,7 @@
 void RequestRouter::CallerRun::answerAgain(const requests::StoredAnswer& stored)
 {
   status_ = stored.status;
+  discardBody(*request_.source, response_);
   response_.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
   response_.setHeader(kRequestIdHeader, request_.id.value());
   response_.setHeader("Sycamore-Replayed", stored.bodyKept ? "whole" : "without-body");
@@ -234,6 +235,7 @@
     message = "It is not known whether the request ran: " +
               std::string(reasonWord(refusal.verdict.reason)) + ".";
   }
+  discardBody(*request_.source, response_);
   sendRefusal(response_, request_.id, refusal.verdict, message, retryAfter);
   observe(refusal);
 }
--- a/libs/router/src/CallerRun.h
+++ b/libs/router/src/CallerRun.h
@@ -48,6 +48,11 @@
   std::mt19937_64 random_;
 };
 
+// Reads what is left of a request's body before an answer that needs none of it, since the sender
+// may write all of it before it reads. Where that is too much or fails, the answer says that the
+// connection closes, or the sender's next request would meet the close.
+void discardBody(transport::ServerRequest& request, transport::ServerResponse& response);
+
 // Sends a refusal with its outcome, reason and a hint when to come back.
 void sendRefusal(transport::ServerResponse& response,
                  const base::RequestId& id,
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -78,18 +78,23 @@
   return base::ShardId(shard);
 }
 
-void discardBody(transport::ServerRequest& request)
+} // namespace
+
+void discardBody(transport::ServerRequest& request, transport::ServerResponse& response)
 {
-  // The sender may write its whole body before it reads the refusal.
+  if (request.bodyLength() == std::optional<std::size_t>(0)) {
+    return;
+  }
   std::size_t discarded = 0;
-  request.readBody([&](std::string_view part) {
+  const bool whole = request.readBody([&](std::string_view part) {
     discarded += part.size();
     return discarded <= kMaxDiscardedBody;
   });
+  if (!whole) {
+    response.closeConnection();
+  }
 }
 
-} // namespace
-
 RequestRouter::RequestRouter(RouterContext context, RequestLimits limits)
   : context_(std::move(context))
   , parser_(limits)
@@ -104,7 +109,7 @@
     IncomingRequest incoming = parser_.parse(request, SteadyClock().now());
     CallerRun(*this, incoming, response).run();
   } catch (const BadRequest& bad) {
-    discardBody(request);
+    discardBody(request, response);
     const auto id = request.header(kRequestIdHeader);
     sendRefusal(response,
                 base::RequestId(id ? *id : std::string()),
@@ -219,8 +224,9 @@
       }
     }
     if (result.again) {
+      discardBody(view, response);
       response.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
-      response.setHeader("Sycamore-Replayed", result.again->bodyKept ? "whole" : "without-body");
+      response.setHeader(kReplayedHeader, result.again->bodyKept ? "whole" : "without-body");
       response.send(result.again->status, result.again->body, result.again->contentType);
       return;
     }
@@ -233,9 +239,7 @@
   } catch (const BadRequest&) {
     result.verdict.reason = Reason::BadRequest;
   }
-  if (view.bodyLength() != std::optional<std::size_t>(0)) {
-    discardBody(view);
-  }
+  discardBody(view, response);
   const auto hint =
     std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter.value_or(base::Duration()));
   response.setHeader(kRetryAfterMsHeader, std::to_string(hint.count()));
