Don't count reroutes as attempts of a method

Cause: each look for a new route counted as an attempt, so that a request that waited out a failover for three intervals of 10 ms had no retry left and ended as unknown after its first real failure. Change: the retry policy and the back-off count the attempts that did not lead to another route. Tests of unknown outcomes, retries and their budget. Result: the test of a retry after 200 ms of rerouting got "unknown connection-lost" before, and is answered by the second send now.

--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -150,6 +150,7 @@
       return result;
     }
     if (shouldReroute(result) && pause(kRerouteInterval)) {
+      ++reroutes_;
       continue;
     }
     if (shouldRetry(result, attemptStart)) {
@@ -188,9 +189,11 @@
   requests::RetryQuery query;
   query.idempotent = method_->idempotent;
   query.last = result.verdict;
-  query.attemptsMade = attempts_;
+  // Meeting a VM or a server that doesn't own the key costs no attempt of the method: a failover
+  // would use them all up.
+  query.attemptsMade = attempts_ - reroutes_;
   query.deadline = request_.deadline;
-  query.delay = router_.backoff_.delay(attempts_, result.retryAfter, random_);
+  query.delay = router_.backoff_.delay(query.attemptsMade, result.retryAfter, random_);
   query.expectedDuration =
     std::min<base::Duration>(SteadyClock().now() - startedAt, base::milliseconds(1));
   const auto decision = router_.budgets_.decide(
--- a/libs/router/src/CallerRun.h
+++ b/libs/router/src/CallerRun.h
@@ -44,6 +44,8 @@
   std::optional<base::ServerId> lastServer_;
   requests::Outcome outcome_ = requests::Outcome::NotRun;
   unsigned attempts_ = 0;
+  // Attempts that only led to another route.
+  unsigned reroutes_ = 0;
   int status_ = 0;
   std::mt19937_64 random_;
 };
