Refuse a forwarded request whose body broke off

Cause: the holder took a forwarded body that broke off for an empty one and ran the request with it. Ruled out: the entry VM that the caller reached, which refuses such a body. Change: it is refused as a bad request, not run.

--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -203,7 +203,11 @@
     IncomingRequest incoming = parser_.parse(view, SteadyClock().now());
     id = incoming.id;
     if (!incoming.isStreamed) {
-      incoming.body = view.readBody(*incoming.bodyLength).value_or("");
+      auto body = view.readBody(*incoming.bodyLength);
+      if (!body) {
+        throw BadRequest{ "the body broke off" };
+      }
+      incoming.body = std::move(*body);
     }
     Answer answer(response, id, kStoredAnswerBytes);
     const auto server = request.header(kServerHeader);
