Keep replay marks and drop headers of one connection

Cause: a forwarding entry VM dropped Sycamore-Replayed of the holder's answer, since no server may set it, so callers could not tell a replay without its body from an empty answer. A backend server could name another server in Sycamore-Server. Headers that a Connection header names were passed on. Change: an answer knows whether an entry VM or a backend server sent it, and only an entry VM may set the two headers. Headers named by Connection are dropped both ways.

--- a/libs/router/include/router/Answer.h
+++ b/libs/router/include/router/Answer.h
@@ -20,8 +20,16 @@
   // storeLimit: bytes of a body that are kept for storedAnswer(); 0 keeps none.
   Answer(transport::ServerResponse& response, base::RequestId id, std::size_t storeLimit);
 
+  // Whose answer it is. Only another entry VM may name the server that ran the request, or mark the
+  // answer as replayed from the ledger.
+  enum class Sender
+  {
+    BackendServer,
+    EntryVm
+  };
+
   // The receiver for one exchange. `from` is the server that runs the request.
-  transport::ResponseReceiver receiver(const base::ServerId& from);
+  transport::ResponseReceiver receiver(const base::ServerId& from, Sender sender);
 
   // Classifies the attempt that ended with this result.
   requests::Classification classify(transport::ExchangeResult result) const;
@@ -38,7 +46,8 @@
   bool isCallerGone() const { return callerGone_; }
 
 private:
-  bool onHead(const transport::ResponseHead& head, const base::ServerId& from);
+  bool onHead(const transport::ResponseHead& head, const base::ServerId& from, Sender sender);
+  void passOwnHeaders(const base::ServerId& from, Sender sender);
   bool onBody(std::string_view part);
 
   transport::ServerResponse& response_;
--- a/libs/router/include/router/RequestRouter.h
+++ b/libs/router/include/router/RequestRouter.h
@@ -87,8 +87,7 @@
   transport::ExchangeResult exchange(IncomingRequest& request,
                                      const std::string& address,
                                      transport::ClientRequest& out,
-                                     const base::ServerId& server,
-                                     Answer& answer);
+                                     const transport::ResponseReceiver& receiver);
   void cancelAtServer(const IncomingRequest& request,
                       ServerDispatcher& dispatcher,
                       admission::WorkId work);
--- a/libs/router/src/Answer.cpp
+++ b/libs/router/src/Answer.cpp
@@ -43,16 +43,16 @@
 {
 }
 
-transport::ResponseReceiver Answer::receiver(const base::ServerId& from)
+transport::ResponseReceiver Answer::receiver(const base::ServerId& from, Sender sender)
 {
   head_ = {};
   headSeen_ = false;
   heldBack_ = false;
-  return { [this, from](const ResponseHead& head) { return onHead(head, from); },
+  return { [this, from, sender](const ResponseHead& head) { return onHead(head, from, sender); },
            [this](std::string_view part) { return onBody(part); } };
 }
 
-bool Answer::onHead(const ResponseHead& head, const base::ServerId& from)
+bool Answer::onHead(const ResponseHead& head, const base::ServerId& from, Sender sender)
 {
   head_ = head;
   headSeen_ = true;
@@ -60,15 +60,13 @@
   if (heldBack_) {
     return true;
   }
+  const HopByHopNames hopByHop(head.headers);
   for (const auto& [name, value] : head.headers) {
-    if (!isHopByHop(name) && !isReserved(name)) {
+    if (!hopByHop.contains(name) && !isReserved(name)) {
       response_.setHeader(name, value);
     }
   }
-  const auto server = head.header("sycamore-server");
-  response_.setHeader(kServerHeader, server.value_or(from.value()));
-  response_.setHeader(kOutcomeHeader, std::string(outcomeWord(requests::Outcome::Ran)));
-  response_.setHeader(kRequestIdHeader, id_.value());
+  passOwnHeaders(from, sender);
   committed_ = true;
   const bool bodyless = head.status == 204 || head.status == 304;
   if (!response_.begin(head.status, bodyless ? std::optional<std::size_t>(0) : lengthOf(head))) {
@@ -77,6 +75,20 @@
   return !callerGone_;
 }
 
+void Answer::passOwnHeaders(const base::ServerId& from, Sender sender)
+{
+  std::string server = from.value();
+  if (sender == Sender::EntryVm) {
+    server = header("sycamore-server").value_or(server);
+    if (const auto replayed = header("sycamore-replayed")) {
+      response_.setHeader(kReplayedHeader, *replayed);
+    }
+  }
+  response_.setHeader(kServerHeader, server);
+  response_.setHeader(kOutcomeHeader, std::string(outcomeWord(requests::Outcome::Ran)));
+  response_.setHeader(kRequestIdHeader, id_.value());
+}
+
 bool Answer::onBody(std::string_view part)
 {
   if (heldBack_) {
--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -219,7 +219,7 @@
   discardBody(*request_.source, response_);
   response_.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
   response_.setHeader(kRequestIdHeader, request_.id.value());
-  response_.setHeader("Sycamore-Replayed", stored.bodyKept ? "whole" : "without-body");
+  response_.setHeader(kReplayedHeader, stored.bodyKept ? "whole" : "without-body");
   response_.send(stored.status, stored.body, stored.contentType);
 }
 
--- a/libs/router/src/Headers.cpp
+++ b/libs/router/src/Headers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <sstream>
 #include <string>
 
 namespace sycamore::router {
@@ -20,14 +21,29 @@
 
 } // namespace
 
-bool isHopByHop(std::string_view name)
+HopByHopNames::HopByHopNames(const transport::HeaderList& headers)
+{
+  for (const auto& [name, value] : headers) {
+    if (toLower(name) != "connection") {
+      continue;
+    }
+    std::istringstream options(value);
+    for (std::string option; std::getline(options, option, ',');) {
+      std::erase_if(option, [](char c) { return c == ' ' || c == '\t'; });
+      named_.insert(toLower(option));
+    }
+  }
+}
+
+bool HopByHopNames::contains(std::string_view name) const
 {
   static constexpr std::array<std::string_view, 12> kNames = {
     "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
     "te",         "trailer",          "transfer-encoding",  "upgrade",
     "expect",     "proxy-connection", "content-length",     "host"
   };
-  return std::find(kNames.begin(), kNames.end(), toLower(name)) != kNames.end();
+  const std::string lower = toLower(name);
+  return named_.contains(lower) || std::find(kNames.begin(), kNames.end(), lower) != kNames.end();
 }
 
 bool isReserved(std::string_view name)
--- a/libs/router/src/IncomingRequest.cpp
+++ b/libs/router/src/IncomingRequest.cpp
@@ -146,11 +146,13 @@
     }
     parsed.attempt = static_cast<unsigned>(*number);
   }
-  for (auto& [name, value] : request.headers()) {
+  const transport::HeaderList headers = request.headers();
+  const HopByHopNames hopByHop(headers);
+  for (const auto& [name, value] : headers) {
     // cpp-httplib adds headers with the addresses of the connection.
     const bool local = name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" ||
                        name == "LOCAL_PORT";
-    if (!local && !isHopByHop(name) && !isReserved(name)) {
+    if (!local && !hopByHop.contains(name) && !isReserved(name)) {
       parsed.headers.emplace_back(name, value);
     }
   }
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -151,7 +151,10 @@
     out.headers.emplace_back(kShardHeader, std::to_string(target.shard->value()));
   }
   const ExchangeResult result =
-    exchange(request, target.server->holderAddress, out, target.server->id, answer);
+    exchange(request,
+             target.server->holderAddress,
+             out,
+             answer.receiver(target.server->id, Answer::Sender::EntryVm));
   return { answer.classify(result), parseHint(answer), {} };
 }
 
@@ -349,7 +352,10 @@
   }
   dispatcher.noteStarted(admission.work, identity);
   const ExchangeResult result =
-    exchange(request, dispatcher.address(), out, dispatcher.server(), answer);
+    exchange(request,
+             dispatcher.address(),
+             out,
+             answer.receiver(dispatcher.server(), Answer::Sender::BackendServer));
   const Classification verdict = answer.classify(result);
   if (verdict.outcome == Outcome::Unknown) {
     dispatcher.abandoned(admission.work);
@@ -369,13 +375,12 @@
 ExchangeResult RequestRouter::exchange(IncomingRequest& request,
                                        const std::string& address,
                                        transport::ClientRequest& out,
-                                       const base::ServerId& server,
-                                       Answer& answer)
+                                       const transport::ResponseReceiver& receiver)
 {
   transport::CancelHandle cancel;
   const DisconnectMonitor::Watch watch(monitor_, request.isSenderGone, cancel);
   return context_.clients.exchange(
-    address, out, answer.receiver(server), request.deadline + kAnswerMargin, &cancel);
+    address, out, receiver, request.deadline + kAnswerMargin, &cancel);
 }
 
 void RequestRouter::cancelAtServer(const IncomingRequest& request,
--- a/libs/router/tests/ForwardingTest.cpp
+++ b/libs/router/tests/ForwardingTest.cpp
@@ -41,6 +41,67 @@
   CHECK((answer.body == body));
 }
 
+TEST_CASE("headers of the protocol or of one connection reach the server from a caller")
+{
+  ForwardingWorld world;
+  for (const EntryVm* vm : { &world.holder, &world.front }) {
+    const std::string id = newId();
+    world.caller.call(*vm,
+                      "/v1/layout/plan/aisle%207?full=1",
+                      { { kKeyHeader, "store-1" },
+                        { kRequestIdHeader, id },
+                        { kTermHeader, "99" },
+                        { kShardHeader, "77" },
+                        { kServiceHeader, "label" },
+                        { kOutcomeHeader, "ran" },
+                        { "TE", "trailers" },
+                        { "Keep-Alive", "timeout=5" },
+                        { "Connection", "keep-alive, X-One-Hop" },
+                        { "X-One-Hop", "1" },
+                        { "X-Store", "Norte, 7" },
+                        { "Content-Type", "text/plain" } },
+                      "body");
+    const Received seen = world.backend.received().back();
+    CHECK(seen.method == "POST");
+    CHECK(seen.target == "/v1/layout/plan/aisle%207?full=1");
+    CHECK(seen.body == "body");
+    CHECK(seen.header(kKeyHeader) == "store-1");
+    CHECK(seen.header(kRequestIdHeader) == id);
+    CHECK(seen.header(kTermHeader) == "1");
+    CHECK(seen.header(kShardHeader).value_or("77") != "77");
+    CHECK(seen.header(kServiceHeader) == "layout");
+    CHECK(seen.header(kMethodHeader) == "plan");
+    CHECK(seen.header(kDeadlineHeader));
+    CHECK(!seen.header(kOutcomeHeader));
+    CHECK(!seen.header("TE"));
+    CHECK(!seen.header("Keep-Alive"));
+    CHECK(!seen.header("X-One-Hop"));
+    CHECK(seen.header("X-Store") == "Norte, 7");
+    CHECK(seen.header("Content-Type") == "text/plain");
+  }
+}
+
+TEST_CASE("an answer loses its own headers or keeps those of one connection")
+{
+  ForwardingWorld world([](ServerRequest&, ServerResponse& response) {
+    response.setHeader("X-Shelf", "12");
+    response.setHeader("Connection", "X-One-Hop");
+    response.setHeader("X-One-Hop", "1");
+    response.setHeader(kServerHeader, "layout-77");
+    response.send(418, "pot", "text/plain");
+  });
+  for (const EntryVm* vm : { &world.holder, &world.front }) {
+    const auto answer = world.caller.call(*vm, "/v1/layout/plan");
+    CHECK(answer.head.status == 418);
+    CHECK(answer.body == "pot");
+    CHECK(answer.head.header("x-shelf") == "12");
+    CHECK(!answer.head.header("x-one-hop"));
+    CHECK(answer.head.header("content-type") == "text/plain");
+    CHECK(answer.head.header("sycamore-outcome") == "ran");
+    CHECK(answer.head.header("sycamore-server") == "layout-1");
+  }
+}
+
 TEST_CASE("a forwarded request whose body breaks off runs with an empty body")
 {
   ForwardingWorld world;
