--- a/benchmarks/process/run.sh
+++ b/benchmarks/process/run.sh
@@ -2,7 +2,7 @@
 # Measures entry VMs as processes on loopback and prints figures as JSON lines.
 #   benchmarks/process/run.sh process   today's sizes of both teams: latency, processor time, idle cost
 #   benchmarks/process/run.sh scaling   idle cost over entry VMs, backend servers and shards
-# Environment: BUILD_DIR (build), SEED (1), PROCESS_RUNS (3), IDLE_SECONDS (5), SIZES (all).
+# Environment: BUILD_DIR (build), SEED (1), PROCESS_RUNS (3), IDLE_SECONDS (5), SCALING_RUNS (2), SIZES (all).
 #
 # Bytes are the payload that the kernel counts for each TCP connection of a daemon (bytes_sent and
 # bytes_received of "ss -tin"), with HTTP headers and without TCP/IP headers. A connection that ends
@@ -38,13 +38,14 @@
 launch() { # NAME PROGRAM ARGS...
   local name=$1 log="$scratch/$1.out" deadline=$((SECONDS + 30))
   shift
-  # The inherited standard output holds the figures.
+  # An earlier cluster of this run may have left a file with the old address.
+  rm -f "$log"
   "$@" > "$log" 2> "$scratch/$name.err" < /dev/null &
   pids+=($!)
-  until line=$(grep -m1 '^listening ' "$log"); do
+  until line=$(grep -sm1 '^listening ' "$log"); do
     if [ $SECONDS -ge $deadline ] || ! kill -0 "${pids[-1]}" 2> /dev/null; then
       echo "run.sh: $name did not start:" >&2
-      tail -5 "$scratch/$name.err" >&2
+      tail -n 5 "$scratch/$name.err" >&2
       return 1
     fi
     sleep 0.02
@@ -75,10 +76,26 @@
   [ $((after - before)) -ge $(($1 * 3)) ]
 }
 
+# Waits until the planner has written no map for two seconds, or a figure would show the start. Says
+# so when it still writes after the deadline.
+wait_planned() {
+  local deadline=$((SECONDS + 30)) last=-1 writes quiet=0
+  while [ $quiet -lt 4 ]; do
+    writes=$(metric_sum map_writes_total)
+    if [ "$writes" = "$last" ]; then quiet=$((quiet + 1)); else quiet=0; fi
+    last=$writes
+    if [ $SECONDS -ge $deadline ]; then
+      echo "run.sh: maps are still written after 30 s" >&2
+      return 0
+    fi
+    sleep 0.5
+  done
+}
+
 # Starts the platform stub, the backend servers and the entry VMs, and waits until requests run.
 start_cluster() { # ENTRY-VMS SERVERS SHARDS SLOTS
   local vms=$1 servers=$2 shards=$3 slots=$4 i domain deadline
-  launch platform "$build/testing/platform_stub/platform_stub" --port 0
+  launch platform "$build/testing/platform_stub/platform_stub" --port 0 || return 1
   platform=${line#listening }
   for domain in a b c; do
     put "/objects/config/domain.$domain?if_version=0" "{\"domain\":\"$domain\",\"state\":\"in\"}"
@@ -93,7 +110,7 @@
   for ((i = 0; i < servers; ++i)); do
     domain=${names[$((i % 3))]}
     launch "server-$i" "$build/testing/backend_stub/backend_stub" --port 0 \
-      --server "$service-$i" --slots "$slots" --service_time_ms 1
+      --server "$service-$i" --slots "$slots" --service_time_ms 1 || return 1
     put "/admin/vms/$service-$i" "{\"role\":\"backend\",\"address\":\"${line#listening }\",
       \"domain\":\"$domain\",\"service\":\"$service\",\"state\":\"live\"}"
   done
@@ -103,9 +120,9 @@
 {"vm": "vm-$i", "domain": "$domain", "platform": "$platform", "seed_peers": [],
  "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "status": "127.0.0.1:0",
             "operators": "127.0.0.1:0"},
- "operators": {"allow_without_token": true}, "log_level": "info"}
+ "limits": {}, "operators": {"allow_without_token": true}, "log_level": "info"}
 SETTINGS
-    launch "vm-$i" "$build/programs/sycamored/sycamored" --settings="$scratch/vm-$i.json"
+    launch "vm-$i" "$build/programs/sycamored/sycamored" --settings="$scratch/vm-$i.json" || return 1
     daemons+=("${pids[-1]}")
     callers+=("$(field callers)")
     statuses+=("$(field status)")
@@ -118,7 +135,7 @@
     grants_steady "$servers"; do
     if [ $SECONDS -ge $deadline ]; then
       echo "run.sh: $vms entry VMs and $servers servers did not settle" >&2
-      tail -3 "$scratch"/vm-*.err >&2
+      for i in "$scratch"/vm-*.err; do tail -n 2 "$i" >&2; done
       return 1
     fi
   done
@@ -167,14 +184,14 @@
 }
 
 # Measures an idle window; sets idle_cpu (ticks per second of all daemons) and the figures in the
-# variables cpu, rss, bytes, tx_bytes, ended, calls, heartbeats, batches, votes, grants (per second).
+# variables cpu, rss, bytes, tx_bytes, ended, calls, heartbeats, batches, votes, grants, map_writes (per second).
 measure_idle() {
   local vms=${#daemons[@]} t0 t1 c0 c1 p0 p1 m0 m1 name
   local -A first
-  for name in heartbeats_sent vote_batches vote_requests grants_sent; do
+  m0=$(now_ns)
+  for name in heartbeats_sent vote_batches vote_requests grants_sent map_writes; do
     first[$name]=$(metric_sum "${name}_total")
   done
-  m0=$(now_ns)
   p0=$(platform_calls)
   connections > "$scratch/before"
   t0=$(now_ns); c0=$(cpu_ticks)
@@ -184,11 +201,12 @@
   p1=$(platform_calls)
   local rates=()
   m1=$(now_ns)
-  for name in heartbeats_sent vote_batches vote_requests grants_sent; do
+  for name in heartbeats_sent vote_batches vote_requests grants_sent map_writes; do
     rates+=("$(awk -v a="${first[$name]}" -v b="$(metric_sum "${name}_total")" -v n="$vms" \
       -v s="$((m1 - m0))" 'BEGIN { print (b - a) / n / (s / 1e9) }')")
   done
   heartbeats=${rates[0]} batches=${rates[1]} votes=${rates[2]} grants=${rates[3]}
+  map_writes=${rates[4]}
   read -r bytes tx_bytes ended < <(awk -v n="$vms" -v s="$((t1 - t0))" '
     NR == FNR { sent[$1 " " $2] = $3; received[$1 " " $2] = $4; next }
     { key = $1 " " $2; tx += $3 - sent[key]; rx += $4 - received[key]; delete sent[key] }
@@ -222,6 +240,7 @@
   emit heartbeats_per_s "$1" "$heartbeats" "1/s per entry VM"
   emit vote_batches_per_s "$1" "$batches" "1/s per entry VM"
   emit vote_requests_per_s "$1" "$votes" "1/s per entry VM"
+  emit map_writes_per_s "$1" "$map_writes" "1/s per entry VM"
   emit grants_per_s "$1" "$grants" "1/s per entry VM"
 }
 
@@ -250,6 +269,7 @@
   targets=$(IFS=,; echo "${callers[*]}")
   start_direct 4 "$4"
   load "$targets" 2 1 2000 "$seed" > /dev/null # past the cold start
+  wait_planned
   measure_idle
   emit_idle "$scenario"
   count=$runs
@@ -284,6 +304,7 @@
     stop_all
     return
   fi
+  wait_planned
   measure_idle
   emit_idle "vms=$1,servers=$2,shards=$3"
   stop_all
@@ -295,10 +316,13 @@
     measure_team dixie-south 10 20 6
     ;;
   scaling)
-    for size in ${SIZES:-3,8,256 6,8,256 9,8,256 12,8,256 6,4,256 6,16,256 6,32,256 12,32,256 3,32,256 \
-      6,8,64 6,8,1024 6,8,4096}; do
-      IFS=, read -r vms servers shards <<< "$size"
-      measure_size "$vms" "$servers" "$shards"
+    for round in $(seq "${SCALING_RUNS:-2}"); do
+      echo "run.sh: round $round of the sizes" >&2
+      for size in ${SIZES:-3,8,256 6,8,256 9,8,256 12,8,256 6,4,256 6,16,256 6,32,256 12,32,256 3,32,256 \
+        6,8,64 6,8,1024 6,8,4096}; do
+        IFS=, read -r vms servers shards <<< "$size"
+        measure_size "$vms" "$servers" "$shards"
+      done
     done
     ;;
   *)
--- a/libs/control/include/control/MapController.h
+++ b/libs/control/include/control/MapController.h
@@ -84,8 +84,6 @@
   // The same for changes of successors and merges, which go along with a write of the voters. False
   // when the order was made for another generation.
   bool acceptEdits(const ChangeOrder& order);
-  // Forgets an accepted order that the tenancy can't begin now.
-  void discardOrder(const ChangeOrder& order);
 
   std::optional<StoredMap> find(const base::ServiceId& service) const;
   std::map<base::ServiceId, base::Generation> generations() const;
@@ -106,8 +104,6 @@
 private:
   struct ServiceState;
 
-  // Whether a change of the server is under way here.
-  static bool isChanging(const ServiceState& state, const base::ServerId& server);
   ServiceState& stateOf(const base::ServiceId& service);
   ServiceState* findState(const base::ServiceId& service) const;
   void install(ServiceState& state, placement::ShardMap map, base::Version version);
--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -85,6 +85,9 @@
   bool startMove(const base::ServerId& server, const ownership::ShardSet& shards);
   bool startVoterChange(const base::ServerId& server, std::vector<base::VmId> voters);
 
+  // Whether a change of the server's shards or voters is under way.
+  bool isChanging(const base::ServerId& server) const;
+
   // Gives all tenancies up, when this VM leaves.
   void resignAll();
   bool holdsAny() const;
--- a/libs/control/src/Controller.cpp
+++ b/libs/control/src/Controller.cpp
@@ -431,10 +431,14 @@
 
 void Controller::executeOrder(const ChangeOrder& order)
 {
+  if (ownership_.isChanging(order.server)) {
+    return;
+  }
+  // A tenancy drops a change without a word when it is lost or evicts its server.
+  maps_.changeResolved(order.server);
   if (!order.moves.empty()) {
-    const auto shards = maps_.acceptMoves(order);
-    if (shards && !ownership_.startMove(order.server, *shards)) {
-      maps_.discardOrder(order);
+    if (const auto shards = maps_.acceptMoves(order)) {
+      ownership_.startMove(order.server, *shards);
     }
     return;
   }
@@ -444,10 +448,7 @@
     return;
   }
   // A change of successors alone rewrites the voters as they are: it needs the same floor.
-  const auto& voters = order.voters.empty() ? entry->voters : order.voters;
-  if (!ownership_.startVoterChange(order.server, voters)) {
-    maps_.discardOrder(order);
-  }
+  ownership_.startVoterChange(order.server, order.voters.empty() ? entry->voters : order.voters);
 }
 
 void Controller::beginLeaving()
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -250,25 +250,10 @@
   }
 }
 
-bool MapController::isChanging(const ServiceState& state, const ServerId& server)
-{
-  return state.planned.contains(server) || state.edits.contains(server) ||
-         state.wanted.contains(server);
-}
-
-void MapController::discardOrder(const ChangeOrder& order)
-{
-  if (ServiceState* state = findState(order.service)) {
-    state->planned.erase(order.server);
-    state->edits.erase(order.server);
-  }
-}
-
 std::optional<ownership::ShardSet> MapController::acceptMoves(const ChangeOrder& order)
 {
   ServiceState* state = findState(order.service);
-  if (state == nullptr || !state->map || state->map->generation() != order.generation ||
-      isChanging(*state, order.server)) {
+  if (state == nullptr || !state->map || state->map->generation() != order.generation) {
     return std::nullopt;
   }
   std::vector<placement::Move> moves;
@@ -296,8 +281,7 @@
 bool MapController::acceptEdits(const ChangeOrder& order)
 {
   ServiceState* state = findState(order.service);
-  if (state == nullptr || !state->map || state->map->generation() != order.generation ||
-      isChanging(*state, order.server)) {
+  if (state == nullptr || !state->map || state->map->generation() != order.generation) {
     return false;
   }
   placement::Plan edits;
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -375,6 +375,8 @@
   if (known != holders_.end() && known->second.holder == context_.self.vm) {
     holders_.erase(known);
   }
+  // The write of a change must not be repeated by a VM that no longer holds the tenancy.
+  events_.changeResolved(managed.server);
   events_.holdersChanged();
 }
 
@@ -615,6 +617,12 @@
   return actions.has_value();
 }
 
+bool OwnershipController::isChanging(const ServerId& server) const
+{
+  const Managed* managed = find(server);
+  return managed != nullptr && managed->tenancy.change().has_value();
+}
+
 void OwnershipController::resignAll()
 {
   for (const auto& [server, managed] : managed_) {
--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -173,6 +173,7 @@
       return result;
     }
     if (shouldReroute(result) && pause(kRerouteInterval)) {
+      ++reroutes_;
       continue;
     }
     if (shouldRetry(result, attemptStart)) {
@@ -211,9 +212,11 @@
   requests::RetryQuery query;
   query.idempotent = method_->idempotent;
   query.last = result.verdict;
-  query.attemptsMade = attempts_;
+  // Meeting a VM or a server that doesn't own the key costs no attempt of the method: a failover
+  // would use them all up.
+  query.attemptsMade = attempts_ - reroutes_;
   query.deadline = request_.deadline;
-  query.delay = router_.backoff_.delay(attempts_, result.retryAfter, random_);
+  query.delay = router_.backoff_.delay(query.attemptsMade, result.retryAfter, random_);
   query.expectedDuration =
     std::min<base::Duration>(SteadyClock().now() - startedAt, base::milliseconds(1));
   const auto decision = router_.budgets_.decide(
@@ -236,6 +239,7 @@
 void RequestRouter::CallerRun::answerAgain(const requests::StoredAnswer& stored)
 {
   status_ = stored.status;
+  discardBody(*request_.source, response_);
   response_.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
   response_.setHeader(kRequestIdHeader, request_.id.value());
   response_.setHeader(kReplayedHeader, stored.bodyKept ? "whole" : "without-body");
@@ -257,6 +261,7 @@
     message = "It is not known whether the request ran: " +
               std::string(reasonWord(refusal.verdict.reason)) + ".";
   }
+  discardBody(*request_.source, response_);
   sendRefusal(response_, request_.id, refusal.verdict, message, retryAfter);
   observe(refusal);
 }
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -78,18 +78,23 @@
   return base::ShardId(shard);
 }
 
-void discardBody(transport::ServerRequest& request)
+} // namespace
+
+void discardBody(transport::ServerRequest& request, transport::ServerResponse& response)
 {
-  // The sender may write its whole body before it reads the refusal.
+  if (request.bodyLength() == std::optional<std::size_t>(0)) {
+    return;
+  }
   std::size_t discarded = 0;
-  request.readBody([&](std::string_view part) {
+  const bool whole = request.readBody([&](std::string_view part) {
     discarded += part.size();
     return discarded <= kMaxDiscardedBody;
   });
+  if (!whole) {
+    response.closeConnection();
+  }
 }
 
-} // namespace
-
 RequestRouter::RequestRouter(RouterContext context, RequestLimits limits)
   : context_(std::move(context))
   , parser_(limits)
@@ -104,7 +109,7 @@
     IncomingRequest incoming = parser_.parse(request, SteadyClock().now());
     CallerRun(*this, incoming, response).run();
   } catch (const BadRequest& bad) {
-    discardBody(request);
+    discardBody(request, response);
     const auto id = request.header(kRequestIdHeader);
     sendRefusal(response,
                 base::RequestId(id ? *id : std::string()),
@@ -146,7 +151,10 @@
     out.headers.emplace_back(kShardHeader, std::to_string(target.shard->value()));
   }
   const ExchangeResult result =
-    exchange(request, target.server->holderAddress, out, target.server->id, answer);
+    exchange(request,
+             target.server->holderAddress,
+             out,
+             answer.receiver(target.server->id, Answer::Sender::EntryVm));
   return { answer.classify(result), parseHint(answer), {} };
 }
 
@@ -198,7 +206,11 @@
     IncomingRequest incoming = parser_.parse(view, SteadyClock().now());
     id = incoming.id;
     if (!incoming.isStreamed) {
-      incoming.body = view.readBody(*incoming.bodyLength).value_or("");
+      auto body = view.readBody(*incoming.bodyLength);
+      if (!body) {
+        throw BadRequest{ "the body broke off" };
+      }
+      incoming.body = std::move(*body);
     }
     Answer answer(response, id, kStoredAnswerBytes);
     const auto server = request.header(kServerHeader);
@@ -219,6 +231,7 @@
       }
     }
     if (result.again) {
+      discardBody(view, response);
       response.setHeader(kOutcomeHeader, std::string(outcomeWord(Outcome::Ran)));
       response.setHeader(kReplayedHeader, result.again->bodyKept ? "whole" : "without-body");
       response.send(result.again->status, result.again->body, result.again->contentType);
@@ -233,9 +246,7 @@
   } catch (const BadRequest&) {
     result.verdict.reason = Reason::BadRequest;
   }
-  if (view.bodyLength() != std::optional<std::size_t>(0)) {
-    discardBody(view);
-  }
+  discardBody(view, response);
   const auto hint =
     std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter.value_or(base::Duration()));
   response.setHeader(kRetryAfterMsHeader, std::to_string(hint.count()));
@@ -341,7 +352,10 @@
   }
   dispatcher.noteStarted(admission.work, identity);
   const ExchangeResult result =
-    exchange(request, dispatcher.address(), out, dispatcher.server(), answer);
+    exchange(request,
+             dispatcher.address(),
+             out,
+             answer.receiver(dispatcher.server(), Answer::Sender::BackendServer));
   const Classification verdict = answer.classify(result);
   if (verdict.outcome == Outcome::Unknown) {
     dispatcher.abandoned(admission.work);
@@ -361,13 +375,12 @@
 ExchangeResult RequestRouter::exchange(IncomingRequest& request,
                                        const std::string& address,
                                        transport::ClientRequest& out,
-                                       const base::ServerId& server,
-                                       Answer& answer)
+                                       const transport::ResponseReceiver& receiver)
 {
   transport::CancelHandle cancel;
   const DisconnectMonitor::Watch watch(monitor_, request.isSenderGone, cancel);
   return context_.clients.exchange(
-    address, out, answer.receiver(server), request.deadline + kAnswerMargin, &cancel);
+    address, out, receiver, request.deadline + kAnswerMargin, &cancel);
 }
 
 void RequestRouter::cancelAtServer(const IncomingRequest& request,
