--- a/libs/control/include/control/MapController.h
+++ b/libs/control/include/control/MapController.h
@@ -113,6 +113,8 @@
   std::vector<placement::ServerView> listedServers(const ServiceState& state) const;
   // Servers as their holders see them: decides which of them get shards.
   std::vector<placement::ServerView> usableServers(const ServiceState& state) const;
+  void addUnlistedLost(const placement::ShardMap& map,
+                       std::vector<placement::ServerView>& views) const;
   std::vector<placement::EntryVm> entryVms() const;
   std::vector<base::DomainId> domainsOut() const;
   std::optional<placement::ShardMap> changedMap(const ServiceState& state,
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -388,9 +388,32 @@
       view.state = placement::ServerState::Leaving;
     }
   }
+  if (state.map) {
+    addUnlistedLost(*state.map, views);
+  }
   return views;
 }
 
+// The planner keeps servers that the list lacks, since the list lags. One that is also silent is
+// lost: as a successor it would leave keys unserved after the next loss.
+void MapController::addUnlistedLost(const placement::ShardMap& map,
+                                    std::vector<placement::ServerView>& views) const
+{
+  for (const placement::MapServer& server : map.servers()) {
+    const bool listed = std::any_of(
+      views.begin(), views.end(), [&](const auto& view) { return view.id == server.id; });
+    if (listed || events_.isServing(server.id)) {
+      continue;
+    }
+    placement::ServerView view;
+    view.id = server.id;
+    view.address = server.entry.address;
+    view.domain = server.entry.domain;
+    view.state = placement::ServerState::Lost;
+    views.push_back(view);
+  }
+}
+
 std::vector<placement::EntryVm> MapController::entryVms() const
 {
   const TimePoint now = context_.now();
--- a/libs/control/tests/PeerCodecTest.cpp
+++ b/libs/control/tests/PeerCodecTest.cpp
@@ -118,6 +118,8 @@
            base::Generation(30),
            { { base::ShardId(5), base::ServerId("layout-2"), base::ServerId("layout-3") },
              { base::ShardId(6), base::ServerId("layout-2"), base::ServerId() } },
+           { { base::ShardId(7), base::ServerId("layout-4") } },
+           { base::ShardId(260) },
            { base::VmId("vm-a1"), base::VmId("vm-a2") } };
 }
 
