--- a/libs/ownership/src/TenancyGrants.h
+++ b/libs/ownership/src/TenancyGrants.h
@@ -51,8 +51,7 @@
 template<OwnershipRules Rules>
 base::TimePoint BasicTenancy<Rules>::mayDispatchUntil() const
 {
-  return role_ == TenancyRole::Active ? quorum_.validUntil(TenancyKind::Active)
-                                      : base::TimePoint{};
+  return role_ == TenancyRole::Active ? quorum_.validUntil(TenancyKind::Active) : base::TimePoint{};
 }
 
 template<OwnershipRules Rules>
