Count what an earlier holder left running, and move keyless requests on

A chunked body could exceed the service's limit; a malformed address kept a slot; a handler without an answer gave an empty 200; unknown tenancy kinds of a peer counted as Active.

--- a/libs/admission/benchmarks/admission_quality.cpp
+++ b/libs/admission/benchmarks/admission_quality.cpp
@@ -7,8 +7,7 @@
   using namespace sycamore::quality;
   return qualityMain(argc, argv, "admission_quality", [](QualityReport& report) {
     for (const Scenario& scenario : scenarios()) {
-      if (!getenv("NOS"))
-        measureStragglers(report, scenario);
+      measureStragglers(report, scenario);
       measureColdStart(report, scenario);
       measureSlots(report, scenario);
       measureSharedBackoff(report, scenario);
--- a/libs/control/include/control/OwnershipController.h
+++ b/libs/control/include/control/OwnershipController.h
@@ -128,6 +128,8 @@
                        const transport::BufferedResponse& response);
   void noteServer(Managed& managed, const admission::ServerReport& report);
   void noteCrash(Managed& managed, base::Incarnation incarnation);
+  // Leaves slots free for what an earlier holder still has in flight at the server.
+  void countForeignWork(Managed& managed, unsigned inFlight);
   void updateGrantView(Managed& managed, const ownership::GrantRequest& granted);
   void askPermits();
   void askPermitsOf(const base::VmId& evictor, const std::vector<base::ServerId>& servers);
--- a/libs/control/src/ManagedServer.h
+++ b/libs/control/src/ManagedServer.h
@@ -26,6 +26,10 @@
   std::shared_ptr<router::ServerDispatcher> dispatcher;
   unsigned grantsInFlight = 0;
   bool releaseInFlight = false;
+  // Requests of an earlier holder that may still run at the server, and until when at the latest.
+  // Nothing until the server's first answer in this term.
+  std::optional<unsigned> foreignInFlight;
+  base::TimePoint foreignUntil;
   // Run of the server that answered last.
   std::optional<base::Incarnation> incarnation;
   // When the server accepted a grant last.
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -42,6 +42,16 @@
   return text == "draining" ? admission::ReportedState::Draining : admission::ReportedState::Warm;
 }
 
+// After this, no request that an earlier holder sent runs any more.
+base::Duration longestDeadline(const configuration::ServiceConfig& config)
+{
+  base::Duration longest{};
+  for (const auto& [name, method] : config.methods) {
+    longest = std::max<base::Duration>(longest, method.deadline);
+  }
+  return longest;
+}
+
 admission::ServerGateSettings gateSettings(const configuration::ServiceConfig& config)
 {
   admission::ServerGateSettings settings;
@@ -241,11 +251,31 @@
   perform(*managed, managed->tenancy.onGrantReply(reply, context_.now()));
   noteServer(*managed, { reply.incarnation, reportedState(body.value("state", "warm")), sentAt });
   if (reply.accepted) {
+    countForeignWork(*managed, body.value("in_flight", 0U));
     updateGrantView(*managed, sent);
   }
   flushVotes();
 }
 
+void OwnershipController::countForeignWork(Managed& managed, unsigned inFlight)
+{
+  if (!managed.dispatcher) {
+    return;
+  }
+  const TimePoint now = context_.now();
+  if (!managed.foreignInFlight) {
+    // Nothing has been dispatched in this term yet.
+    managed.foreignInFlight = inFlight;
+    managed.foreignUntil = now + longestDeadline(managed.config);
+  } else if (*managed.foreignInFlight == 0) {
+    return;
+  }
+  managed.foreignInFlight =
+    now < managed.foreignUntil ? std::min(*managed.foreignInFlight, inFlight) : 0;
+  const unsigned slots = managed.config.slotsPerServer;
+  managed.dispatcher->setSlots(slots - std::min(slots, *managed.foreignInFlight));
+}
+
 void OwnershipController::updateGrantView(Managed& managed, const ownership::GrantRequest& granted)
 {
   if (!managed.dispatcher || granted.term != managed.tenancy.term()) {
@@ -357,6 +387,7 @@
                                                                   context_.now(),
                                                                   router::wallTime());
   managed.accepted = {};
+  managed.foreignInFlight.reset();
   dispatchers_.insert(managed.dispatcher);
   noteHolder(managed.server,
              { context_.self.vm, action.term, TenancyKind::Active, context_.now(), false, false });
--- a/libs/control/src/PeerCodec.cpp
+++ b/libs/control/src/PeerCodec.cpp
@@ -61,6 +61,17 @@
   return { strongOf<base::VmId>(value.at(0)), strongOf<base::Incarnation>(value.at(1)) };
 }
 
+// A span of time. No lease or verdict lasts longer than a day; longer ones would overflow sums.
+Duration spanOf(const json& value)
+{
+  constexpr std::int64_t kLongest = Duration(std::chrono::hours(24)).count();
+  const auto nanoseconds = value.get<std::int64_t>();
+  if (nanoseconds > kLongest || nanoseconds < -kLongest) {
+    throw ControlError("a span of time is out of range");
+  }
+  return Duration(nanoseconds);
+}
+
 int kindNumber(TenancyKind kind)
 {
   return kind == TenancyKind::Evicted ? 1 : 0;
@@ -68,7 +79,11 @@
 
 TenancyKind kindOf(const json& value)
 {
-  return value.get<int>() == 1 ? TenancyKind::Evicted : TenancyKind::Active;
+  const int number = value.get<int>();
+  if (number != 0 && number != 1) {
+    throw ControlError("unknown tenancy kind " + std::to_string(number));
+  }
+  return number == 1 ? TenancyKind::Evicted : TenancyKind::Active;
 }
 
 VoteAnswer answerOf(const json& value)
@@ -153,7 +168,7 @@
   reply.currentKind = kindOf(value.at("cur_kind"));
   reply.currentRowGeneration = strongOf<base::Generation>(value.at("cur_row"));
   reply.floor = strongOf<base::Generation>(value.at("floor"));
-  reply.remaining = Duration(value.at("remaining_ns").get<std::int64_t>());
+  reply.remaining = spanOf(value.at("remaining_ns"));
   return reply;
 }
 
@@ -364,7 +379,7 @@
       permit.term = strongOf<base::Term>(item.at("term"));
       permit.generation = strongOf<base::Generation>(item.at("gen"));
       permit.shards = ownership::ShardSet::parse(item.at("shards").get<std::string>());
-      permit.remaining = Duration(item.at("remaining_ns").get<std::int64_t>());
+      permit.remaining = spanOf(item.at("remaining_ns"));
       return permit;
     });
   });
@@ -455,11 +470,11 @@
           crash.domain = strongOf<base::DomainId>(entry.at("domain"));
           crash.alone = entry.at("alone").get<bool>();
           crash.stamp = stampOf(entry.at("stamp_ms"));
-          crash.expiresAt = now + Duration(entry.at("remaining_ns").get<std::int64_t>());
+          crash.expiresAt = now + spanOf(entry.at("remaining_ns"));
           return crash;
         });
       record.clearedAt = stampOf(item.at("cleared_ms"));
-      record.clearedUntil = now + Duration(item.at("cleared_ns").get<std::int64_t>());
+      record.clearedUntil = now + spanOf(item.at("cleared_ns"));
       return record;
     });
   });
--- a/libs/router/include/router/IncomingRequest.h
+++ b/libs/router/include/router/IncomingRequest.h
@@ -6,6 +6,7 @@
 #include <transport/HttpServer.h>
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,8 @@
   std::string body;
   bool isStreamed = false;
   std::optional<std::size_t> bodyLength;
+  // A streamed body that turns out to be longer is broken off.
+  std::uint64_t bodyLimit = std::numeric_limits<std::uint64_t>::max();
   transport::ServerRequest* source = nullptr;
   std::function<bool()> isSenderGone;
 
--- a/libs/router/include/router/PickerTable.h
+++ b/libs/router/include/router/PickerTable.h
@@ -31,6 +31,11 @@
                     std::uint64_t send,
                     bool counts);
 
+  // The server's holder refused a request for want of a slot.
+  void noteOverloaded(const base::ServiceId& service,
+                      const base::ServerId& server,
+                      base::Duration wait);
+
 private:
   struct State
   {
--- a/libs/router/include/router/ServerDispatcher.h
+++ b/libs/router/include/router/ServerDispatcher.h
@@ -38,6 +38,8 @@
   std::string flow;
   base::TimePoint deadline;
   std::size_t bytes = 0;
+  // A request that any server may run is refused after this wait, so that another one is tried.
+  base::Duration longestWait = base::Duration::max();
   // Must not share the server with other requests (see requests::Quarantine).
   bool alone = false;
   // Whether the sender of the request has left; asked while the request waits.
@@ -102,6 +104,8 @@
   void withhold(const ownership::ShardSet& shards);
   // Control thread: whether requests for any of these shards are still in flight.
   bool isBusyWith(const ownership::ShardSet& shards) const;
+  // Control thread: how many requests may be in flight from now on.
+  void setSlots(unsigned slots);
   // Control thread: the server answered a grant or a report.
   void serverChanged(const admission::ServerReport& report);
   // Control thread: this VM is no longer the holder.
--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -90,7 +90,8 @@
   }
   method_ = &found->second;
   request_.deadline = std::min(request_.deadline, startedAt_ + method_->deadline);
-  const bool tooLong = request_.bodyLength.value_or(0) > service_->limits.bodyBytes;
+  request_.bodyLimit = service_->limits.bodyBytes;
+  const bool tooLong = request_.bodyLength.value_or(0) > request_.bodyLimit;
   const bool lacksKey = service_->keyed && !request_.key;
   const bool lacksId = !method_->idempotent && !request_.hasCallerId;
   if (tooLong || lacksKey || lacksId) {
@@ -168,6 +169,10 @@
       request_.service, server, send, result.verdict.outcome == Outcome::Ran);
     ++attempts_;
     lastServer_ = server;
+    if (result.verdict.reason == Reason::Overloaded || result.verdict.reason == Reason::Cold) {
+      router_.pickers_.noteOverloaded(
+        request_.service, server, result.retryAfter.value_or(base::Duration(kRerouteInterval)));
+    }
     outcome_ = requests::combineOutcomes(outcome_, result.verdict.outcome);
     if (result.again || answer_.isCommitted()) {
       return result;
@@ -199,6 +204,11 @@
     case Reason::ConnectionLost:
       // Nothing was sent: the server or the holder is gone, and its keys are about to move.
       return true;
+    case Reason::Overloaded:
+    case Reason::Cold:
+      // Another server may have a free slot; a key has only one owner.
+      return !service_->keyed && method_->idempotent &&
+             table_->candidates(request_.service).size() > 1;
     default:
       return false;
   }
--- a/libs/router/src/PickerTable.cpp
+++ b/libs/router/src/PickerTable.cpp
@@ -53,4 +53,12 @@
     server, admission::WorkId(send), counts, SteadyClock().now());
 }
 
+void PickerTable::noteOverloaded(const base::ServiceId& service,
+                                 const base::ServerId& server,
+                                 base::Duration wait)
+{
+  std::lock_guard lock(mutex_);
+  states_[service].picker.noteOverloaded(server, wait, SteadyClock().now());
+}
+
 } // namespace sycamore::router
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -26,6 +26,9 @@
 // An answer may come this long after the deadline: the server stops at the deadline, and its
 // refusal still has to arrive.
 constexpr base::milliseconds kAnswerMargin{ 20 };
+// A request that any server may run waits a quarter of its time for one server, but at least this,
+// before another one is tried: all slots of the first may be held by attempts that broke off.
+constexpr base::milliseconds kLeastUnkeyedWait{ 20 };
 constexpr base::milliseconds kCancelTimeout{ 200 };
 constexpr std::size_t kMaxDiscardedBody = 1 << 20;
 
@@ -44,8 +47,15 @@
   out.headers = request.headers;
   if (request.isStreamed) {
     out.bodyLength = request.bodyLength;
-    out.bodySource = [source = request.source](const transport::BodyWriter& write) {
-      return source->readBody(write);
+    out.bodySource = [source = request.source,
+                      left = request.bodyLimit](const transport::BodyWriter& write) mutable {
+      return source->readBody([&](std::string_view part) {
+        if (part.size() > left) {
+          return false;
+        }
+        left -= part.size();
+        return write(part);
+      });
     };
   } else {
     out.body = request.body;
@@ -317,6 +327,10 @@
   admission.deadline = request.deadline;
   admission.bytes = request.body.size();
   admission.alone = treatment == requests::Treatment::RunAlone;
+  if (!shard) {
+    admission.longestWait =
+      std::max<base::Duration>(kLeastUnkeyedWait, (request.deadline - SteadyClock().now()) / 4);
+  }
   admission.isSenderGone = request.isSenderGone;
   const Admission slot = dispatcher.admit(admission);
   if (!slot.admitted) {
--- a/libs/router/src/ServerDispatcher.cpp
+++ b/libs/router/src/ServerDispatcher.cpp
@@ -58,6 +58,7 @@
   queued.deadline = request.deadline;
   queued.bytes = request.bytes;
   queued.alone = request.alone;
+  queued.longestWait = request.longestWait;
   perform(gate_.enqueue(std::move(queued), now()));
   waitForAction(waiter, work, request, lock);
   waiters_.erase(work);
@@ -247,6 +248,13 @@
   });
 }
 
+void ServerDispatcher::setSlots(unsigned slots)
+{
+  std::lock_guard lock(mutex_);
+  gate_.setSlots(slots);
+  perform(gate_.wake(now()));
+}
+
 void ServerDispatcher::serverChanged(const admission::ServerReport& report)
 {
   std::lock_guard lock(mutex_);
--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -1,6 +1,7 @@
 #include <transport/HttpClientPool.h>
 
 #include <transport/HostPort.h>
+#include <transport/TransportError.h>
 
 #include <algorithm>
 #include <atomic>
@@ -265,7 +266,13 @@
   if (remaining <= Duration::zero() || impl_->isUnreachable(address)) {
     return ExchangeResult::NotSent;
   }
-  Connection connection = impl_->take(address);
+  Connection connection;
+  try {
+    connection = impl_->take(address);
+  } catch (const TransportError&) {
+    // A malformed address of a peer or a server can't be reached.
+    return ExchangeResult::NotSent;
+  }
   CancelScope scope(cancel != nullptr ? cancel->state_.get() : nullptr, *connection.client);
   if (scope.wasCancelled()) {
     return ExchangeResult::NotSent;
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -623,6 +623,10 @@
         writer.send(kStatusInternalError, std::string(error.what()) + "\n", "text/plain");
       }
     }
+    if (!writer.isBegun()) {
+      writer.closeConnection();
+      writer.send(kStatusInternalError, "the request was not answered\n", "text/plain");
+    }
     if (!writer.isEnded() || view.hasUnreadBody()) {
       // The rest of the body would be read as the next request, and a part of an answer would be
       // taken for the whole.
--- a/libs/transport/tests/HttpServerTest.cpp
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -234,6 +234,21 @@
   }
 }
 
+// Guards against an empty answer 200 that nobody gave.
+TEST_CASE("a handler that does not answer is answered with 500")
+{
+  Fixture fixture([](ServerRequest&, ServerResponse&) {});
+  CHECK(fixture.post("/", "").head.status == 500);
+}
+
+// Guards against a request that throws, and so keeps its slot, because an address is malformed.
+TEST_CASE("a malformed address is not reached")
+{
+  Fixture fixture(echo);
+  CHECK(fixture.pool.fetch("nowhere", ClientRequest(), inSeconds(1)).result ==
+        ExchangeResult::NotSent);
+}
+
 // Guards against unbounded memory for a request head.
 TEST_CASE("an oversized head is refused with 431")
 {
