--- a/programs/sycamored/tests/TelemetryTest.cpp
+++ b/programs/sycamored/tests/TelemetryTest.cpp
@@ -24,12 +24,19 @@
       { "generation", generation },
       { "writer", "vm/1" },
       { "shard_count", 2 },
-      { "shards", { { 0, owner, nullptr }, { 1, "s2", nullptr } } },
+      { "shards", { { 0, owner, nullptr, generation }, { 1, "s2", nullptr, 1 } } },
       { "overrides", nlohmann::json::array() },
       { "servers",
-        { { "s1", { { "address", "a" }, { "domain", "a" }, { "voters", { "1", "2", "3" } } } },
+        { { "s1",
+            { { "address", "a" },
+              { "domain", "a" },
+              { "voters", { "1", "2", "3" } },
+              { "changed", generation } } },
           { "s2",
-            { { "address", "a" }, { "domain", "a" }, { "voters", { "1", "2", "3" } } } } } } });
+            { { "address", "a" },
+              { "domain", "a" },
+              { "voters", { "1", "2", "3" } },
+              { "changed", generation } } } } } });
   router::ServiceRoute route;
   route.map = std::make_shared<const placement::ShardMap>(map);
   for (const char* id : { "s1", "s2" }) {
