--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -41,7 +41,6 @@
 // Voters that the platform's list has lacked for this long are replaced without their majority.
 constexpr std::chrono::seconds kForcedVoterChange{ 30 };
 constexpr int kConflict = 409;
-constexpr int kNotFound = 404;
 
 placement::VoterMode voterMode(const configuration::ServiceConfig& config)
 {
--- a/libs/operators/src/MessageJson.h
+++ b/libs/operators/src/MessageJson.h
@@ -25,7 +25,8 @@
                                { ReplyOutcome::Refused, "REFUSED" },
                                { ReplyOutcome::Planned, "PLANNED" } })
 
-// Messages without fields.
+// Messages without fields. nlohmann's library looks these names up.
+// NOLINTBEGIN(readability-identifier-naming)
 template<typename Empty>
 requires std::is_empty_v<Empty> && std::is_aggregate_v<Empty>
 void to_json(nlohmann::json& json, const Empty&)
@@ -35,6 +36,7 @@
 template<typename Empty>
 requires std::is_empty_v<Empty> && std::is_aggregate_v<Empty>
 void from_json(const nlohmann::json&, Empty&) {}
+// NOLINTEND(readability-identifier-naming)
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Fault, path, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FieldDifference, path, yours, theirs)
--- a/libs/placement/src/VoterChoice.cpp
+++ b/libs/placement/src/VoterChoice.cpp
@@ -140,7 +140,9 @@
 
   std::vector<base::VmId> finish(std::span<const base::VmId> current)
   {
-    std::ranges::stable_partition(chosen_, [&](const EntryVm* vm) { return isHome(*vm); });
+    // The constrained form is not compiled by clang 14, which the linter uses.
+    std::stable_partition(
+      chosen_.begin(), chosen_.end(), [&](const EntryVm* vm) { return isHome(*vm); });
     std::vector<base::VmId> voters;
     for (const EntryVm* vm : chosen_) {
       voters.push_back(vm->id);
--- a/programs/sycamored/src/OperatorGateway.cpp
+++ b/programs/sycamored/src/OperatorGateway.cpp
@@ -354,7 +354,7 @@
   std::map<base::ServerId, control::ChangeOrder> orders;
   std::size_t next = 0;
   for (const base::ShardId shard : shards) {
-    const base::ServerId from = map.owner(shard);
+    const base::ServerId& from = map.owner(shard);
     base::ServerId to(request.to);
     for (std::size_t i = 0; to.value().empty() && i < serving.size(); ++i) {
       const auto& candidate = serving[next++ % serving.size()];
