--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -30,9 +30,6 @@
 namespace {
 
 constexpr base::milliseconds kPlanInterval{ 250 };
-// A VM that has just become the planner knows no loads yet, and would move shards by their number:
-// a pause of the planner moved keys. Reports come once a second.
-constexpr std::chrono::seconds kPlannerWarmUp{ 5 };
 constexpr base::milliseconds kPlatformTimeout{ 1000 };
 // A write that failed is repeated after this time.
 constexpr base::milliseconds kRepeatInterval{ 50 };
@@ -99,8 +96,6 @@
   bool writing = false;
   TimePoint writeAt;
   TimePoint planAt;
-  // Since when this VM plans for the service; nothing while another one does.
-  std::optional<TimePoint> planningSince;
 };
 
 MapController::MapController(ControlContext& context, MapEvents& events)
@@ -605,12 +600,8 @@
   }
   const TimePoint now = context_.now();
   if (plannerOf(state.config.service) != context_.self.vm) {
-    state.planningSince.reset();
     return;
   }
-  if (!state.planningSince) {
-    state.planningSince = now;
-  }
   try {
     if (!state.map) {
       createFirstMap(state);
@@ -628,12 +619,6 @@
     }
     state.load.refresh(*state.map, countUsable(views), now);
     placement::Plan plan = nextPlan(state);
-    if (now - *state.planningSince < kPlannerWarmUp) {
-      std::erase_if(plan.moves, [](const placement::Move& move) {
-        return move.reason == placement::MoveReason::Balance ||
-               move.reason == placement::MoveReason::Fill;
-      });
-    }
     orderChanges(state, plan);
     // A split leaves owner and successor as they are, so that the planner may write it.
     plan.moves.clear();
--- a/libs/router/include/router/IncomingRequest.h
+++ b/libs/router/include/router/IncomingRequest.h
@@ -31,6 +31,8 @@
   // A short body is held and can be sent again; a long one streams from the source once.
   std::string body;
   bool isStreamed = false;
+  // Whether a streamed body has been read from; it can't be sent again then.
+  bool isBodyUsed = false;
   std::optional<std::size_t> bodyLength;
   // A streamed body that turns out to be longer is broken off.
   std::uint64_t bodyLimit = std::numeric_limits<std::uint64_t>::max();
--- a/libs/router/src/CallerRun.cpp
+++ b/libs/router/src/CallerRun.cpp
@@ -192,7 +192,7 @@
 bool RequestRouter::CallerRun::shouldReroute(const AttemptResult& result) const
 {
   // A streamed body is gone once it was read.
-  if (result.verdict.outcome != Outcome::NotRun || request_.isStreamed) {
+  if (result.verdict.outcome != Outcome::NotRun || request_.isBodyUsed) {
     return false;
   }
   switch (result.verdict.reason) {
@@ -216,7 +216,7 @@
 
 bool RequestRouter::CallerRun::shouldRetry(const AttemptResult& result, TimePoint startedAt)
 {
-  if (request_.isStreamed || result.verdict.reason == Reason::Cancelled) {
+  if (request_.isBodyUsed || result.verdict.reason == Reason::Cancelled) {
     return false;
   }
   requests::RetryQuery query;
--- a/libs/router/src/RequestRouter.cpp
+++ b/libs/router/src/RequestRouter.cpp
@@ -47,8 +47,9 @@
   out.headers = request.headers;
   if (request.isStreamed) {
     out.bodyLength = request.bodyLength;
-    out.bodySource = [source = request.source,
-                      left = request.bodyLimit](const transport::BodyWriter& write) mutable {
+    out.bodySource = [&request, source = request.source, left = request.bodyLimit](
+                       const transport::BodyWriter& write) mutable {
+      request.isBodyUsed = true;
       return source->readBody([&](std::string_view part) {
         if (part.size() > left) {
           return false;
--- a/programs/sycamored/src/main.cpp
+++ b/programs/sycamored/src/main.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
 #include <base/Error.h>
 #include <settings/SettingsError.h>
 
@@ -60,6 +61,9 @@
     "Exit status: 0 left in time, 1 failure, 2 faulty settings or flags.");
   absl::FlagsUsageConfig config;
   config.version_string = versionText;
+  config.contains_help_flags = [](absl::string_view file) {
+    return absl::EndsWith(file, "main.cpp");
+  };
   absl::SetFlagsUsageConfig(config);
   // Operators expect dashes; Abseil flags have underscores.
   for (int i = 1; i < argc; ++i) {
