Lead the retry test of services without keys to the failed server

Cause: the test left the choice to the picker. Change: the first attempt has only the failing server; the other one comes back while it runs, and must get the retry.

--- a/libs/router/tests/UnkeyedTest.cpp
+++ b/libs/router/tests/UnkeyedTest.cpp
@@ -16,13 +16,15 @@
     route(true);
   }
 
-  void route(bool firstAvailable)
+  void route(bool firstAvailable, bool secondAvailable = true)
   {
     auto config = layoutConfig();
     config->services.begin()->second.keyed = false;
     ServerRoute one = routeTo("layout-1", first.address, &vm, vm);
     one.available = firstAvailable;
-    publish(vm, { one, routeTo("layout-2", second.address, &vm, vm) }, config);
+    ServerRoute two = routeTo("layout-2", second.address, &vm, vm);
+    two.available = secondAvailable;
+    publish(vm, { one, two }, config);
   }
 
   FakeBackend first;
@@ -36,11 +38,15 @@
 TEST_CASE("a retry returns to the server that just failed although another one is free")
 {
   UnkeyedWorld world;
-  world.first.setWork(FakeBackend::hangUp);
-  for (int i = 0; i < 10; ++i) {
-    CHECK(verdictOf(world.caller.call(world.vm, "/v1/layout/plan", {})) == "ran -");
-  }
-  CHECK(world.second.count() == 10);
+  // The first attempt can only go to the first server; the second comes back while it runs.
+  world.route(true, false);
+  world.first.setWork([&](ServerRequest& request, ServerResponse& response) {
+    world.route(true, true);
+    FakeBackend::hangUp(request, response);
+  });
+  CHECK(verdictOf(world.caller.call(world.vm, "/v1/layout/plan", {})) == "ran -");
+  CHECK(world.first.count() == 1);
+  CHECK(world.second.count() == 1);
 }
 
 TEST_CASE("a server that leaves receives new work")
