Balance shards once their loads are known, and let early answers reach their callers

Cause: LoadPlanning believes more of each difference between shards with every second of traffic, and the planner acted on every stage of that estimate, with the same mark for start and end; a planner that had just been elected balanced by the number of shards. Change: ShardLoads count as known after 10 s with traffic. Before that live servers keep their shards and an empty server gets half of its part by number. Balancing starts beyond the target of 1.10 and ends at the old marks.

Cause: a server refused the key ("not-owner") while shards were still settling after the start; the entry VM answered 503 before the body had arrived and closed the connection with input unread, which resets it, so that the caller saw a broken connection instead of the refusal. Ruled out: memory bound, time-outs (the exchange ended as Broken, status 0). Change: after an answer that came before the end of the body, the rest is read for up to 5 s before the connection is closed. Test: HttpServerTest "an answer given before a long body has arrived reaches the caller" failed before, passes now. Test edit: the e2e case waits until the shards have settled before it sends, since a refusal in the first second is true and allowed; it is about streaming and memory.

--- a/libs/control/src/LoadPlanning.cpp
+++ b/libs/control/src/LoadPlanning.cpp
@@ -24,6 +24,10 @@
 // Taken in full, the chance differences of the first seconds would move shards back and forth.
 constexpr double kHalfBelief = 30.0;
 
+// Skew between shards shows within a few seconds of traffic; balancing earlier moves shards again
+// as the estimate becomes more exact.
+constexpr std::chrono::seconds kLearningTime{ 10 };
+
 bool holds(const placement::ShardMap& map, const placement::KeyOverride& hot)
 {
   const placement::KeyOverride* known = map.overrideOf(hot.key);
@@ -77,6 +81,7 @@
   const base::Duration gap = now - observedAt_;
   counted_ = counted_ * std::exp(-seconds(gap) / seconds(placement::ShardLoads::kTimeConstant)) +
              mean * seconds(std::min<base::Duration>(gap, kMaxInterval));
+  covered_ += std::min<base::Duration>(gap, kMaxInterval);
   observedAt_ = now;
   const double belief = counted_ / (counted_ + kHalfBelief);
   map.forEachShard([&](base::ShardId shard, const placement::ShardRow&) {
@@ -86,6 +91,11 @@
   });
 }
 
+bool LoadPlanning::knowsLoads() const
+{
+  return covered_ >= kLearningTime;
+}
+
 void LoadPlanning::mapChanged(const placement::ShardMap& before,
                               const placement::ShardMap& after,
                               base::TimePoint now)
--- a/libs/control/src/LoadPlanning.h
+++ b/libs/control/src/LoadPlanning.h
@@ -27,6 +27,8 @@
                   base::TimePoint now);
 
   const placement::ShardLoads& loads() const { return loads_; }
+  // True when the loads cover enough time with traffic to place shards by them.
+  bool knowsLoads() const;
   const placement::HotKeyPolicy::Decision& hotKeys() const { return decision_; }
 
 private:
@@ -43,6 +45,8 @@
   // Requests counted per shard, decayed like the loads.
   double counted_ = 0;
   base::TimePoint observedAt_{};
+  // Sum of the intervals with traffic that the loads cover.
+  base::Duration covered_{};
 };
 
 } // namespace sycamore::control
--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -657,8 +657,10 @@
   const auto& weights = state.config.weights;
   options.churnWeight = weights.churn / std::max(1e-9, weights.churn + weights.imbalance);
   const auto& keys = state.load.hotKeys();
-  const placement::PlanRequest request{ *state.map,    views,    out,        state.load.loads(),
-                                        state.history, keys.hot, keys.cooled };
+  const placement::PlanRequest request{ *state.map,    views,
+                                        out,           state.load.loads(),
+                                        state.history, keys.hot,
+                                        keys.cooled,   state.load.knowsLoads() };
   return placement::PlacementPlanner(options).plan(request, context_.now());
 }
 
--- a/libs/placement/include/placement/PlanRequest.h
+++ b/libs/placement/include/placement/PlanRequest.h
@@ -25,6 +25,9 @@
   // From HotKeyPolicy.
   std::span<const base::Key> hotKeys = {};
   std::span<const base::Key> cooledKeys = {};
+  // False while too little traffic was counted to tell busy shards from idle ones. Live servers
+  // then keep their shards, and a server that joins gets a part by number.
+  bool loadsKnown = true;
 };
 
 } // namespace sycamore::placement
--- a/libs/placement/include/placement/PlannerOptions.h
+++ b/libs/placement/include/placement/PlannerOptions.h
@@ -30,12 +30,17 @@
   // Limits for a shard count: a failure domain of eleven can be emptied within two steps.
   static PlannerOptions forShardCount(std::uint32_t shardCount);
 
-  // Load over mean above which a server gives shards away, 1.05 to 1.08. Below that range the size
-  // of a shard decides (at 256 shards and 20 servers one is 6% of a server's load); above it noise
-  // in the load crosses the target of 1.10.
+  // Load over mean that the planner leaves alone, and at which it starts to balance: the target of
+  // the imbalance. Marks for the start and the end that lie apart keep noise in the load from
+  // moving single shards again and again.
+  double startMark() const { return 1.10; }
+  // Load over mean down to which an overloaded server gives shards away, 1.05 to 1.08. Below that
+  // range the size of a shard decides (at 256 shards and 20 servers one is 6% of a server's load).
   double highMark() const { return 1.05 + 0.03 * churnWeight; }
-  // Load over mean below which a server receives shards.
+  // Load over mean up to which an underloaded server receives shards.
   double lowMark() const { return 2.0 - highMark(); }
+  // Share of the mean up to which a server receives shards while their loads aren't known.
+  double unknownMark() const { return 0.5; }
 };
 
 } // namespace sycamore::placement
--- a/libs/placement/src/BalanceMoves.cpp
+++ b/libs/placement/src/BalanceMoves.cpp
@@ -80,11 +80,11 @@
 }
 
 // Cold servers stay below the mean of their warmed part.
-void fill(WorkingMap& work, ServerIndex to)
+void fill(WorkingMap& work, ServerIndex to, double goal)
 {
   const bool cold = work.fleet().role(to) == Fleet::Role::Cold;
   const double limit = cold ? 1.0 : work.options().highMark();
-  while (work.mayBalance() && work.utilization(to) < work.options().lowMark()) {
+  while (work.mayBalance() && work.utilization(to) < goal) {
     const auto choice = findFill(work, to, limit);
     if (!choice || (cold && !work.coldServerTakes(to, work.weight(choice->shard)))) {
       return;
@@ -114,19 +114,25 @@
 
 void planFillMoves(WorkingMap& work)
 {
+  const PlannerOptions& options = work.options();
+  const double start = work.loadsKnown() ? 2.0 - options.startMark() : options.unknownMark();
+  const double goal = work.loadsKnown() ? options.lowMark() : options.unknownMark();
   std::vector<ServerIndex> underloaded;
-  collectBelow(work.coldServers(), work.options().lowMark(), underloaded);
-  collectBelow(work.liveServers(), work.options().lowMark(), underloaded);
+  collectBelow(work.coldServers(), start, underloaded);
+  collectBelow(work.liveServers(), start, underloaded);
   for (const ServerIndex server : underloaded) {
-    fill(work, server);
+    fill(work, server, goal);
   }
 }
 
 void planReliefMoves(WorkingMap& work)
 {
+  if (!work.loadsKnown()) {
+    return;
+  }
   std::vector<ServerIndex> overloaded;
   const auto& live = work.liveServers();
-  for (auto at = live.rbegin(); at != live.rend() && at->first > work.options().highMark(); ++at) {
+  for (auto at = live.rbegin(); at != live.rend() && at->first > work.options().startMark(); ++at) {
     overloaded.push_back(at->second);
   }
   for (const ServerIndex from : overloaded) {
--- a/libs/placement/src/WorkingMap.h
+++ b/libs/placement/src/WorkingMap.h
@@ -28,6 +28,7 @@
   const Fleet& fleet() const { return fleet_; }
   const ShardMap& map() const { return request_.map; }
   const PlannerOptions& options() const { return options_; }
+  bool loadsKnown() const { return request_.loadsKnown; }
   const Ranking& liveServers() const { return live_; }
   const Ranking& coldServers() const { return cold_; }
   const Plan& plan() const { return plan_; }
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -13,6 +13,7 @@
 #include <httplib.h>
 #include <map>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,12 +27,18 @@
 
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusInternalError = 500;
+// How long the rest of a body is read after an answer that came before its end, and how long a
+// pause of the sender may be.
+constexpr std::chrono::milliseconds kLingerTime{ 5000 };
+constexpr std::chrono::milliseconds kLingerIdle{ 500 };
 
 // What the handler of the current worker thread needs beside cpp-httplib's request.
 struct CurrentConnection
 {
   SocketStream* stream = nullptr;
   bool closeAfterResponse = false;
+  // The answer was given before the whole body had arrived.
+  bool bodyUnread = false;
   bool draining = false;
 };
 
@@ -521,7 +528,7 @@
     return found == open_.end() ? nullptr : found->second.stream.get();
   }
 
-  void closeConnection(int fd)
+  void closeConnection(int fd, bool bodyUnread = false)
   {
     std::unique_ptr<SocketStream> stream;
     {
@@ -535,18 +542,29 @@
     }
     --connections_;
     ::shutdown(fd, SHUT_WR);
-    discardInput(fd);
+    discardInput(fd, bodyUnread);
     ::close(fd);
   }
 
   // Closing a socket with unread input resets the connection, and the reset can overtake the
-  // answer. Bounded, since the other side may go on sending.
-  static void discardInput(int fd)
-  {
-    constexpr int kMaxReads = 64;
-    std::array<char, 16384> discarded;
-    for (int i = 0; i < kMaxReads; ++i) {
-      if (recv(fd, discarded.data(), discarded.size(), MSG_DONTWAIT) <= 0) {
+  // answer: a caller that is sending a long body reads a refusal only after it. Bounded, since the
+  // other side may go on sending, or keep the connection open.
+  static void discardInput(int fd, bool bodyUnread)
+  {
+    const TimePoint deadline = SteadyClock().now() + kLingerTime;
+    std::array<char, 65536> discarded;
+    while (true) {
+      const ssize_t count = recv(fd, discarded.data(), discarded.size(), MSG_DONTWAIT);
+      if (count > 0) {
+        continue;
+      }
+      const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(deadline - SteadyClock().now());
+      if (count == 0 || (errno != EAGAIN && errno != EINTR) || !bodyUnread || left.count() <= 0) {
+        return;
+      }
+      pollfd readable{ fd, POLLIN, 0 };
+      if (poll(&readable, 1, static_cast<int>(std::min(left, kLingerIdle).count())) == 0) {
         return;
       }
     }
@@ -559,18 +577,24 @@
     if (stream == nullptr) {
       return;
     }
-    bool keep = true;
+    Served served;
     do {
-      keep = serveOne(*stream);
-    } while (keep && stream->hasBufferedInput());
-    if (keep) {
+      served = serveOne(*stream);
+    } while (served.keep && stream->hasBufferedInput());
+    if (served.keep) {
       park(fd);
     } else {
-      closeConnection(fd);
+      closeConnection(fd, served.bodyUnread);
     }
   }
 
-  bool serveOne(SocketStream& stream)
+  struct Served
+  {
+    bool keep = true;
+    bool bodyUnread = false;
+  };
+
+  Served serveOne(SocketStream& stream)
   {
     CurrentConnection current;
     current.stream = &stream;
@@ -592,8 +616,9 @@
       stream.writeAll("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
                       "Connection: close\r\n\r\n");
     }
-    return processed && headParsed && !closedByRequest && !current.closeAfterResponse &&
-           !current.draining;
+    const bool keep = processed && headParsed && !closedByRequest && !current.closeAfterResponse &&
+                      !current.draining;
+    return { keep, current.bodyUnread };
   }
 
   HandlerResponse refuseBadFraming(const httplib::Request& request, httplib::Response& response)
@@ -627,7 +652,8 @@
       writer.closeConnection();
       writer.send(kStatusInternalError, "the request was not answered\n", "text/plain");
     }
-    if (!writer.isEnded() || view.hasUnreadBody()) {
+    currentConnection->bodyUnread = view.hasUnreadBody();
+    if (!writer.isEnded() || currentConnection->bodyUnread) {
       // The rest of the body would be read as the next request, and a part of an answer would be
       // taken for the whole.
       currentConnection->closeAfterResponse = true;
--- a/libs/transport/tests/HttpServerTest.cpp
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -206,6 +206,22 @@
   CHECK(countOf(connection.readAll(), "HTTP/1.1") == 1);
 }
 
+// Guards against a refusal that the caller never sees, because the connection is reset while the
+// caller is still sending its body.
+TEST_CASE("an answer given before a long body has arrived reaches the caller")
+{
+  constexpr int kUnavailable = 503;
+  constexpr std::size_t kBody = 30'000'000;
+  Fixture fixture([](ServerRequest&, ServerResponse& response) {
+    response.send(kUnavailable, "not here\n", "text/plain");
+  });
+  for (int i = 0; i < 3; ++i) {
+    const BufferedResponse response = fixture.post("/v1/layout/plan", std::string(kBody, 'x'));
+    CHECK(response.result == ExchangeResult::Complete);
+    CHECK(response.head.status == kUnavailable);
+  }
+}
+
 // Guards against a handler that waits for a body which it has already read. Refusals discard the
 // body, so a forwarded request that was refused after its body was read blocked until its deadline.
 TEST_CASE("a body that was read can be discarded again without waiting")
--- a/tests/e2e/LeavingTest.cpp
+++ b/tests/e2e/LeavingTest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
+#include <sstream>
 #include <test_process/WaitUntil.h>
 
 using namespace sycamore;
@@ -35,6 +37,27 @@
   return static_cast<double>(ran) / static_cast<double>(calls.size());
 }
 
+// All sends of the requests that no send of theirs served, for the message of a failed check.
+std::string describeUnserved(const std::vector<CallRecord>& calls)
+{
+  std::set<std::string> served;
+  for (const CallRecord& call : calls) {
+    if (call.isRan()) {
+      served.insert(call.requestId);
+    }
+  }
+  std::ostringstream text;
+  for (const CallRecord& call : calls) {
+    if (!served.contains(call.requestId)) {
+      text << call.requestId << " attempt " << call.attempt << " at " << call.address << ": status "
+           << call.status << " " << call.outcome << " " << call.reason << " server " << call.server
+           << ", exchange " << static_cast<int>(call.result) << " after "
+           << (call.receivedNs - call.sentNs) / 1'000'000 << " ms\n";
+    }
+  }
+  return text.str();
+}
+
 } // namespace
 
 TEST_SUITE("leaving")
@@ -55,7 +78,7 @@
     MESSAGE("last start on a draining server after " << last << " ms; served part of all sends "
                                                      << servedPart(calls));
     CHECK(last < 2000);
-    CHECK(load.failed() == 0);
+    CHECK_MESSAGE(load.failed() == 0, describeUnserved(calls));
     // The journals show only what started; refusals show work that still arrived.
     const auto violations = cluster.check(calls);
     CHECK_MESSAGE(violations.empty(), describe(violations));
@@ -80,7 +103,7 @@
     CHECK(test_process::waitUntil([&] { return lastStart(cluster, inside) > until; }, 15s));
     const auto calls = load.stop();
     MESSAGE("served part of all sends " << servedPart(calls));
-    CHECK(load.failed() == 0);
+    CHECK_MESSAGE(load.failed() == 0, describeUnserved(calls));
     const auto violations = cluster.check(calls);
     CHECK_MESSAGE(violations.empty(), describe(violations));
   }
--- a/tests/e2e/RoutingTest.cpp
+++ b/tests/e2e/RoutingTest.cpp
@@ -54,6 +54,8 @@
     // Far below one body; the daemon's threads and buffers take the rest.
     constexpr std::uint64_t kGrowthKb = 30'000;
     Cluster cluster({ .labelServers = 0 });
+    // Until the first shards have settled, a server may refuse a key that has just left it.
+    cluster.waitBalanced("layout");
     Caller caller;
     std::map<std::string, std::uint64_t> before;
     for (const std::string& vm : cluster.vmIds()) {
@@ -73,6 +75,8 @@
         calls.push_back(caller.send(cluster.vm(vm).callerAddress(), call));
         CAPTURE(chunked);
         CAPTURE(calls.back().reason);
+        CAPTURE(calls.back().status);
+        CAPTURE(static_cast<int>(calls.back().result));
         CHECK(calls.back().isRan());
       }
       Call down;
