Let the coordinator watch the store for all entry VMs

Ruled out: longer watches (a connection that falls silent would hide changes for longer) and one watching VM a domain (as complex, more calls). Change: the coordinator tells each change by datagram (ObjectChange, in parts that fit a frame), and in its regular message the revision at which each kind last changed. RelayedCopy decides for the others: follow while the coordinator sees the store and was heard within 700 ms, read all objects when an announced change didn't arrive within 150 ms, watch the store otherwise. The coordinator confirms its record every 600 ms in place of 1,500, so that a VM that can't see the store stops relaying within the time that a configuration may take to be in force.

--- a/libs/entry/include/entry/CoordinatorDuty.h
+++ b/libs/entry/include/entry/CoordinatorDuty.h
@@ -41,6 +41,8 @@
   std::uint64_t revision() const { return revision_; }
   // Whether the last confirmation by the store has succeeded.
   bool storeReachable() const { return storeReachable_; }
+  // Whether the store has answered so lately that watches of this VM would hear of changes.
+  bool seesStore(base::TimePoint now) const;
 
   // Another VM has taken over.
   void resign(const char* why);
@@ -53,6 +55,7 @@
   void writeRecord();
   void onWritten(const StoreAnswer& answer, base::TimePoint asked, const std::string& content);
   void confirm();
+  void noteConfirmed(base::TimePoint asked);
   void onConfirmed(const StoreAnswer& answer, base::TimePoint asked);
   void grant(const dispatch::GrantOrder& order);
   void release(const dispatch::ReleaseOrder& order);
@@ -66,6 +69,8 @@
   std::unique_ptr<dispatch::KeyCoordinator> coordinator_;
   std::uint64_t revision_ = 0;
   base::TimePoint nextConfirm_{};
+  // When the last call was asked that showed this VM as the coordinator.
+  base::TimePoint confirmedAt_{};
   base::TimePoint nextWrite_{};
   bool acquiring_ = false;
   bool confirming_ = false;
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -10,6 +10,7 @@
 #include <dispatch/OwnershipCopy.h>
 #include <dispatch/RoutingView.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,8 @@
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
   void onDomainsOut(const ObjectMirror::Objects& objects);
+  void relay(const ObjectChange& change);
+  void onChange(const ObjectChange& change);
   void readOwnership();
   void onOwnershipChanged();
   void onConfirmed(const dispatch::OwnershipRecord& record, const dispatch::OwnershipDelta& delta);
@@ -90,6 +93,8 @@
   ObjectMirror configurationMirror_;
   ObjectMirror serversMirror_;
   ObjectMirror domainsOutMirror_;
+  // All of them, in the order of the messages between entry VMs.
+  std::array<ObjectMirror*, 3> mirrors_;
   dispatch::OwnershipCopy ownership_;
   asio::steady_timer tickTimer_;
   asio::steady_timer registerTimer_;
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <entry/ObjectChange.h>
+
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/KeyRates.h>
 #include <dispatch/OwnershipCopy.h>
@@ -33,6 +35,9 @@
   // Revision of the ownership record.
   std::uint64_t revision = 0;
   std::vector<RequestBreak> breaks;
+  // Whether it watches the store for all, and the revision at which each watched kind last changed.
+  bool relays = false;
+  std::vector<std::uint64_t> changedAt;
 };
 
 // From every entry VM to the coordinator.
@@ -62,7 +67,14 @@
   dispatch::OwnershipDelta delta;
 };
 
-using PeerMessage = std::variant<BeatMessage, ReportMessage, StoppedMessage, DeltaMessage>;
+// From the coordinator to every other entry VM, after each change of objects that it watches.
+struct ChangeMessage
+{
+  ObjectChange change;
+};
+
+using PeerMessage =
+  std::variant<BeatMessage, ReportMessage, StoppedMessage, DeltaMessage, ChangeMessage>;
 
 // A datagram for a message, and back; nothing if the bytes are no message.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/libs/entry/src/CoordinatorDuty.cpp
+++ b/libs/entry/src/CoordinatorDuty.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-// Time between two confirmations by the store that this VM still is the coordinator.
-constexpr base::Duration kConfirmInterval = base::milliseconds(1500);
+// Time between two confirmations by the store that this VM still is the coordinator. They also show
+// that it would hear of changes.
+constexpr base::Duration kConfirmInterval = base::milliseconds(600);
+// Time for which a confirmation shows that, with room for a slow answer.
+constexpr base::Duration kConfirmLife = base::milliseconds(900);
 // Pause before a write that got no answer is sent again.
 constexpr base::Duration kWriteRetry = base::milliseconds(200);
 // A release is answered when the work on its keys has ended.
@@ -119,6 +122,7 @@
   confirming_ = false;
   storeReachable_ = true;
   nextConfirm_ = now + kConfirmInterval;
+  confirmedAt_ = now;
   log_.write(
     "coordinator_began",
     { { "epoch", record.epoch },
@@ -199,7 +203,7 @@
     revision_ = object.revision;
     writeWanted_ = false;
     nextWrite_ = now;
-    coordinator_->noteConfirmed(asked);
+    noteConfirmed(asked);
     delta.changes = coordinator_->noteWritten(now);
     confirmed_(coordinator_->record(), delta);
   } catch (const wire::WireError& error) {
@@ -235,12 +239,24 @@
       resign("another entry VM is the coordinator");
       return;
     }
-    coordinator_->noteConfirmed(asked);
+    noteConfirmed(asked);
   } catch (const base::Error& error) {
     log_.write("ownership_unreadable", { { "error", error.what() } });
   }
 }
 
+void CoordinatorDuty::noteConfirmed(base::TimePoint asked)
+{
+  confirmedAt_ = std::max(confirmedAt_, asked);
+  nextConfirm_ = std::max(nextConfirm_, asked + kConfirmInterval);
+  coordinator_->noteConfirmed(asked);
+}
+
+bool CoordinatorDuty::seesStore(base::TimePoint now) const
+{
+  return storeReachable_ && now < confirmedAt_ + kConfirmLife;
+}
+
 void CoordinatorDuty::grant(const dispatch::GrantOrder& order)
 {
   Call call{ endpointOf(order.server),
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -67,30 +67,28 @@
             onConfirmed(record, delta);
           })
   , election_({}, clockNow())
-  , configurationMirror_(context,
-                         store_,
-                         log,
-                         wire::Kind::Configuration,
-                         kWatchWait,
-                         kConfigurationRest,
-                         run + 1,
-                         [this](const auto& objects) { onConfiguration(objects); })
-  , serversMirror_(context,
-                   store_,
-                   log,
-                   wire::Kind::Servers,
-                   kWatchWait,
-                   kServersRest,
-                   run + 2,
-                   [this](const auto& objects) { onServers(objects); })
-  , domainsOutMirror_(context,
-                      store_,
-                      log,
-                      wire::Kind::DomainsOut,
-                      kWatchWait,
-                      kConfigurationRest,
-                      run + 3,
-                      [this](const auto& objects) { onDomainsOut(objects); })
+  , configurationMirror_(
+      context,
+      store_,
+      log,
+      { wire::Kind::Configuration, kWatchWait, kConfigurationRest, run + 1 },
+      [this](const auto& objects) { onConfiguration(objects); },
+      [this](const auto& change) { relay(change); })
+  , serversMirror_(
+      context,
+      store_,
+      log,
+      { wire::Kind::Servers, kWatchWait, kServersRest, run + 2 },
+      [this](const auto& objects) { onServers(objects); },
+      [this](const auto& change) { relay(change); })
+  , domainsOutMirror_(
+      context,
+      store_,
+      log,
+      { wire::Kind::DomainsOut, kWatchWait, kConfigurationRest, run + 3 },
+      [this](const auto& objects) { onDomainsOut(objects); },
+      [this](const auto& change) { relay(change); })
+  , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
   , ownership_({}, clockNow())
   , tickTimer_(context)
   , registerTimer_(context)
@@ -99,9 +97,9 @@
 
 void EntryControl::start()
 {
-  configurationMirror_.start();
-  serversMirror_.start();
-  domainsOutMirror_.start();
+  for (ObjectMirror* mirror : mirrors_) {
+    mirror->start();
+  }
   registerSelf();
   tick();
 }
@@ -276,6 +274,19 @@
   }
 }
 
+// The coordinator watches the store for all entry VMs.
+void EntryControl::relay(const ObjectChange& change)
+{
+  if (!duty_.active()) {
+    return;
+  }
+  for (const ObjectChange& part : splitChange(change)) {
+    for (const auto& [vm, peer] : peerTable_) {
+      peers_.send(peer.address, ChangeMessage{ part });
+    }
+  }
+}
+
 void EntryControl::readOwnership()
 {
   store_.read(wire::Kind::Ownership, wire::kOwnershipName, [this](const StoreAnswer& answer) {
@@ -327,6 +338,8 @@
     if (!duty_.active() && ownership_.noteDelta(change->delta, clockNow())) {
       onOwnershipChanged();
     }
+  } else if (const auto* relayed = std::get_if<ChangeMessage>(&message)) {
+    onChange(relayed->change);
   } else if (const auto* stopped = std::get_if<StoppedMessage>(&message)) {
     // Only the last one before this knows of all that came before it.
     if (duty_.active() && stopped->epoch + 1 == duty_.coordinator()->record().epoch) {
@@ -359,6 +372,29 @@
     remoteBreak_(entry);
   }
   setEntryVms(message.entryVms);
+  if (message.relays && message.changedAt.size() == mirrors_.size()) {
+    for (std::size_t i = 0; i < mirrors_.size(); ++i) {
+      mirrors_[i]->noteRelay(message.changedAt[i], clockNow());
+    }
+  }
+}
+
+void EntryControl::onChange(const ObjectChange& change)
+{
+  switch (change.kind) {
+    case wire::Kind::Configuration:
+      configurationMirror_.noteChange(change);
+      break;
+    case wire::Kind::Servers:
+      serversMirror_.noteChange(change);
+      break;
+    case wire::Kind::DomainsOut:
+      domainsOutMirror_.noteChange(change);
+      break;
+    case wire::Kind::Ownership:
+    case wire::Kind::EntryVms:
+      break;
+  }
 }
 
 void EntryControl::onReport(const ReportMessage& message, const std::string& from)
@@ -388,6 +424,9 @@
              election_.shouldTry(rank_, store_.reachable(), now)) {
     duty_.tryAcquire();
   }
+  for (ObjectMirror* mirror : mirrors_) {
+    mirror->tick(duty_.active(), now);
+  }
   if (duty_.active() && now >= nextBeat_) {
     sendBeats(now);
     nextBeat_ = now + kBeatInterval;
@@ -419,6 +458,11 @@
   message.revision = duty_.revision();
   message.breaks = std::move(pendingBreaks_);
   pendingBreaks_.clear();
+  message.relays = duty_.seesStore(now);
+  for (const ObjectMirror* mirror : mirrors_) {
+    message.relays = message.relays && mirror->watching();
+    message.changedAt.push_back(mirror->changedAt());
+  }
   setEntryVms(message.entryVms);
   unsigned rank = 0;
   for (const auto& [vm, peer] : peerTable_) {
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -20,20 +20,18 @@
 ObjectMirror::ObjectMirror(asio::io_context& context,
                            StoreClient& store,
                            EventLog& log,
-                           wire::Kind kind,
-                           std::chrono::milliseconds wait,
-                           std::chrono::milliseconds rest,
-                           std::uint64_t seed,
-                           Changed changed)
+                           MirrorSettings settings,
+                           Changed changed,
+                           Found found)
   : store_(store)
   , log_(log)
-  , kind_(kind)
-  , wait_(wait)
-  , rest_(rest)
+  , settings_(settings)
   , changed_(std::move(changed))
+  , found_(std::move(found))
   , timer_(context)
-  , random_(seed)
+  , random_(settings.seed)
   , cursor_(kTrustAfter)
+  , copy_({})
 {
 }
 
@@ -42,20 +40,43 @@
   list("");
 }
 
-void ObjectMirror::adopt(const wire::StoreObject& object)
+void ObjectMirror::tick(bool relays, base::TimePoint now)
 {
-  if (apply({ object, false })) {
+  relays_ = relays;
+  if (!busy_ && (relays_ || copy_.mustWatch(now) || copy_.mustRead(now))) {
+    list("");
+  }
+}
+
+void ObjectMirror::noteRelay(std::uint64_t revision, base::TimePoint now)
+{
+  copy_.noteRelay(revision, now);
+}
+
+void ObjectMirror::noteChange(const ObjectChange& change)
+{
+  if (!copy_.noteChange(change.part)) {
+    return;
+  }
+  bool changed = false;
+  for (const wire::WatchEvent& event : change.events) {
+    changed = apply(event) || changed;
+  }
+  changedAt_ = std::max(changedAt_, change.part.revision);
+  if (changed) {
     changed_(objects_);
   }
 }
 
 void ObjectMirror::list(const std::string& after)
 {
+  busy_ = true;
   if (after.empty()) {
+    watching_ = false;
     listed_.clear();
     listRevision_ = 0;
   }
-  store_.list(kind_, after, [this](StoreAnswer answer) { onList(answer); });
+  store_.list(settings_.kind, after, [this](StoreAnswer answer) { onList(answer); });
 }
 
 void ObjectMirror::onList(const StoreAnswer& answer)
@@ -82,23 +103,48 @@
     return;
   }
   noteReached();
-  objects_ = std::move(listed_);
+  // Messages that came meanwhile may have brought newer objects.
+  if (listRevision_ >= changedAt_) {
+    adoptList();
+  }
   cursor_.noteList(listRevision_);
-  changed_(objects_);
-  watchAfter(rest_);
+  watching_ = true;
+  follow(settings_.rest);
+}
+
+void ObjectMirror::adoptList()
+{
+  std::vector<wire::WatchEvent> events;
+  for (const auto& [name, object] : listed_) {
+    const auto known = objects_.find(name);
+    if (known == objects_.end() || known->second.revision != object.revision) {
+      events.push_back({ object, false });
+    }
+  }
+  for (const auto& [name, object] : objects_) {
+    if (!listed_.contains(name)) {
+      events.push_back({ object, true });
+    }
+  }
+  objects_ = std::move(listed_);
+  copy_.noteRead(listRevision_);
+  if (!events.empty() || changedAt_ == 0) {
+    report(std::move(events), listRevision_);
+  }
 }
 
 void ObjectMirror::watch()
 {
-  store_.watch(kind_, cursor_.from(base::SteadyClock().now()), wait_, [this](StoreAnswer answer) {
-    onWatch(answer);
-  });
+  store_.watch(settings_.kind,
+               cursor_.from(base::SteadyClock().now()),
+               settings_.wait,
+               [this](StoreAnswer answer) { onWatch(answer); });
 }
 
 void ObjectMirror::onWatch(const StoreAnswer& answer)
 {
   if (answer.outcome == StoreOutcome::HistoryGone) {
-    log_.write("store_history_gone", { { "kind", static_cast<int>(kind_) } });
+    log_.write("store_history_gone", { { "kind", static_cast<int>(settings_.kind) } });
     list("");
     return;
   }
@@ -106,25 +152,39 @@
     retry();
     return;
   }
-  bool changed = false;
+  std::vector<wire::WatchEvent> events;
   try {
     const wire::WatchPage page = wire::readEvents(answer.body);
     for (const wire::WatchEvent& event : page.events) {
-      changed = apply(event) || changed;
+      if (apply(event)) {
+        events.push_back(event);
+      }
     }
     cursor_.notePage(page.revision, !page.events.empty(), base::SteadyClock().now());
+    if (!events.empty()) {
+      copy_.noteRead(page.revision);
+      report(std::move(events), page.revision);
+      events.clear();
+      noteReached();
+      follow(settings_.rest);
+      return;
+    }
   } catch (const wire::WireError& error) {
     log_.write("store_answer_unreadable", { { "error", error.what() } });
     retry();
     return;
   }
   noteReached();
-  if (changed) {
-    changed_(objects_);
-    watchAfter(rest_);
-  } else {
-    watch();
-  }
+  follow(std::chrono::milliseconds(0));
+}
+
+// A difference was read from the store.
+void ObjectMirror::report(std::vector<wire::WatchEvent> events, std::uint64_t revision)
+{
+  const ObjectChange change{ settings_.kind, { changedAt_, revision, 0, 1 }, std::move(events) };
+  changedAt_ = std::max(changedAt_, revision);
+  changed_(objects_);
+  found_(change);
 }
 
 void ObjectMirror::noteReached()
@@ -132,12 +192,22 @@
   failures_ = 0;
   if (!reachable_) {
     reachable_ = true;
-    log_.write("store_regained", { { "kind", static_cast<int>(kind_) } });
+    log_.write("store_regained", { { "kind", static_cast<int>(settings_.kind) } });
   }
 }
 
-void ObjectMirror::watchAfter(std::chrono::milliseconds pause)
+// Goes on watching, or leaves that to the relaying VM.
+void ObjectMirror::follow(std::chrono::milliseconds pause)
 {
+  if (!relays_ && !copy_.mustWatch(base::SteadyClock().now())) {
+    busy_ = false;
+    watching_ = false;
+    return;
+  }
+  if (pause.count() == 0) {
+    watch();
+    return;
+  }
   timer_.expires_after(pause);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -168,7 +238,7 @@
 {
   if (reachable_) {
     reachable_ = false;
-    log_.write("store_lost", { { "kind", static_cast<int>(kind_) } });
+    log_.write("store_lost", { { "kind", static_cast<int>(settings_.kind) } });
   }
   const auto pause = std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 5U)));
   ++failures_;
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -15,6 +15,7 @@
 constexpr int kReport = 2;
 constexpr int kStopped = 3;
 constexpr int kDelta = 4;
+constexpr int kChange = 5;
 
 Json writeBreaks(const std::vector<RequestBreak>& breaks)
 {
@@ -47,7 +48,9 @@
                        message.rank,
                        message.entryVms,
                        writeBreaks(message.breaks),
-                       message.revision });
+                       message.revision,
+                       message.relays,
+                       message.changedAt });
 }
 
 Json toJson(const ReportMessage& message)
@@ -92,6 +95,46 @@
     { kDelta, message.delta.previous, message.delta.revision, std::move(services) });
 }
 
+Json toJson(const ChangeMessage& message)
+{
+  const ObjectChange& change = message.change;
+  Json events = Json::array();
+  for (const wire::WatchEvent& event : change.events) {
+    events.push_back({ event.object.name,
+                       event.object.revision,
+                       event.object.deleting,
+                       event.deleted,
+                       event.deleted ? "" : event.object.json });
+  }
+  return Json::array({ kChange,
+                       static_cast<int>(change.kind),
+                       change.part.previous,
+                       change.part.revision,
+                       change.part.part,
+                       change.part.parts,
+                       std::move(events) });
+}
+
+ChangeMessage readChange(const Json& json)
+{
+  ChangeMessage message;
+  message.change.kind = static_cast<wire::Kind>(json.at(1).get<int>());
+  message.change.part = { json.at(2).get<std::uint64_t>(),
+                          json.at(3).get<std::uint64_t>(),
+                          json.at(4).get<unsigned>(),
+                          json.at(5).get<unsigned>() };
+  for (const Json& row : json.at(6)) {
+    wire::WatchEvent event;
+    event.object = { row.at(0).get<std::string>(),
+                     row.at(1).get<std::uint64_t>(),
+                     row.at(2).get<bool>(),
+                     row.at(4).get<std::string>() };
+    event.deleted = row.at(3).get<bool>();
+    message.change.events.push_back(std::move(event));
+  }
+  return message;
+}
+
 DeltaMessage readDelta(const Json& json)
 {
   DeltaMessage message;
@@ -116,6 +159,8 @@
   message.entryVms = json.at(8).get<unsigned>();
   message.breaks = readBreaks(json.at(9));
   message.revision = json.at(10).get<std::uint64_t>();
+  message.relays = json.at(11).get<bool>();
+  message.changedAt = json.at(12).get<std::vector<std::uint64_t>>();
   return message;
 }
 
@@ -165,6 +210,8 @@
                                base::Duration(json.at(2).get<std::int64_t>()) };
       case kDelta:
         return readDelta(json);
+      case kChange:
+        return readChange(json);
       default:
         return std::nullopt;
     }
