Send a request to servers that nobody chooses

Ruled out: a view that lacks them (all VMs logged them within 0.3 s). Admission and the limits of cold servers still decide.

--- a/libs/dispatch/tests/OwnershipCopyTest.cpp
+++ b/libs/dispatch/tests/OwnershipCopyTest.cpp
@@ -48,7 +48,8 @@
   base::ManualClock clock;
   OwnershipCopy copy({}, clock.now());
   copy.noteRecord(wholeRecord(), 10);
-  CHECK(copy.noteDelta({ 10, 12, { { kService, { range(500, 1500, "c", 3) } } }, {}, 1 }, clock.now()));
+  CHECK(
+    copy.noteDelta({ 10, 12, { { kService, { range(500, 1500, "c", 3) } } }, {}, 1 }, clock.now()));
   CHECK(ownerOf(copy, 499).value() == "a");
   CHECK(ownerOf(copy, 500).value() == "c");
   CHECK(ownerOf(copy, 1500).value() == "c");
--- /dev/null
+++ b/libs/dispatch/tests/TrialTurnTest.cpp
@@ -0,0 +1,51 @@
+#include <dispatch/TrialTurn.h>
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <vector>
+
+using namespace sycamore;
+using dispatch::TrialTurn;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a server that joins and gets no request, because others look better to every VM.
+TEST_CASE("a server that nobody chooses gets a few requests over all entry VMs")
+{
+  constexpr std::size_t kVms = 10;
+  base::ManualClock clock;
+  const base::TimePoint start = clock.now();
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> phase(0, 1);
+  std::vector<TrialTurn> turns;
+  for (std::size_t i = 0; i < kVms; ++i) {
+    turns.emplace_back(phase(random), clock.now());
+  }
+  unsigned early = 0;
+  unsigned all = 0;
+  for (int step = 0; step < 1000; ++step) {
+    for (TrialTurn& turn : turns) {
+      if (turn.isDue(kVms, clock.now())) {
+        turn.noteSent(clock.now());
+        ++all;
+        early += clock.now() < start + seconds(4) ? 1 : 0;
+      }
+    }
+    clock.advance(milliseconds(100));
+  }
+  CHECK(early >= 1);
+  CHECK(all == kVms);
+}
+
+TEST_CASE("a server in use needs no trial")
+{
+  base::ManualClock clock;
+  TrialTurn turn(0.5, clock.now());
+  clock.advance(seconds(4));
+  turn.noteSent(clock.now());
+  clock.advance(seconds(99));
+  CHECK_FALSE(turn.isDue(10, clock.now()));
+  clock.advance(seconds(1));
+  CHECK(turn.isDue(10, clock.now()));
+}
--- a/libs/entry/include/entry/ServerPool.h
+++ b/libs/entry/include/entry/ServerPool.h
@@ -5,6 +5,7 @@
 #include <dispatch/BackendServer.h>
 #include <dispatch/ColdStartShare.h>
 #include <dispatch/ServerLoad.h>
+#include <dispatch/TrialTurn.h>
 
 #include <memory>
 #include <vector>
@@ -24,6 +25,7 @@
 
   dispatch::ServerLoad& load() { return load_; }
   dispatch::ColdStartShare& coldStart() { return coldStart_; }
+  dispatch::TrialTurn& trial() { return trial_; }
 
   // An idle connection, or a new one; null if there are `limit` already.
   std::shared_ptr<ServerConnection> acquire(std::size_t limit, base::TimePoint now);
@@ -39,6 +41,7 @@
   dispatch::BackendServer server_;
   dispatch::ServerLoad load_;
   dispatch::ColdStartShare coldStart_;
+  dispatch::TrialTurn trial_;
   std::vector<std::shared_ptr<ServerConnection>> idle_;
   std::size_t busy_ = 0;
 };
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -203,7 +203,8 @@
     const double preference = here ? random() * 0.05 : kDomainPreference + random() * 0.05;
     const auto penalty =
       std::chrono::duration_cast<base::Duration>(pool->load().work() * preference);
-    candidates.push_back({ pool, expected, expected + penalty });
+    const bool trial = pool->trial().isDue(view_->entryVms, now);
+    candidates.push_back({ pool, expected, trial ? base::Duration::zero() : expected + penalty });
   }
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
     return a.cost < b.cost;
--- a/libs/entry/src/RequestRun.cpp
+++ b/libs/entry/src/RequestRun.cpp
@@ -162,6 +162,7 @@
   pool_ = pool;
   sentAt_ = now;
   pool->load().noteSent();
+  pool->trial().noteSent(now);
   ++sends_;
   tried_.insert(pool->server().id);
   connection_->exchange(
--- a/libs/entry/src/ServerPool.cpp
+++ b/libs/entry/src/ServerPool.cpp
@@ -30,6 +30,7 @@
   , server_(server)
   , load_(server.slots, kAssumedWork)
   , coldStart_(phase)
+  , trial_(phase, base::SteadyClock().now())
 {
 }
 
