Pass -Wno-restrict only to the build for the platform

clang-tidy reads the developers' compile commands and refuses an option that it doesn't know (seen: every file of lint failed with unknown-warning-option). Only the -O3 build for the platform shows the false positive of g++ 12.

--- a/cmake/Workspace.cmake
+++ b/cmake/Workspace.cmake
@@ -1,8 +1,10 @@
 add_library(workspace_options INTERFACE)
 target_compile_options(workspace_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow
                                                    -Wnon-virtual-dtor -Werror)
-# g++ 12 warns falsely of overlaps in concatenated strings when it optimizes (GCC bug 105651).
-if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
+# g++ 12 warns falsely of overlaps in concatenated strings at -O3, which only the build for the
+# platform uses (GCC bug 105651).
+if(SYCAMORE_ENTRY_ONLY AND CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND
+   CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
   target_compile_options(workspace_options INTERFACE -Wno-restrict)
 endif()
 
