Reckon the lag of both relayed copies in one place

RelayedCopy wrote again what OwnershipCopy had: which revision a copy has, which one it should have, and when a message is overdue. The copy of it was worse: each further announcement put the read off by another 150 ms, so that a copy could stay old while changes followed closely (new test in RelayedCopyTest, failed before). RevisionLag now serves both, with OwnershipCopy's rule: the time counts from the first change that is missing. OwnershipCopy behaves as before; its tests are unchanged.

--- a/libs/dispatch/include/dispatch/OwnershipCopy.h
+++ b/libs/dispatch/include/dispatch/OwnershipCopy.h
@@ -2,6 +2,7 @@
 
 #include <base/Time.h>
 #include <dispatch/OwnershipRecord.h>
+#include <dispatch/RevisionLag.h>
 
 #include <cstdint>
 #include <map>
@@ -44,9 +45,9 @@
 
   // Null until the record was read.
   const std::shared_ptr<const OwnershipRecord>& record() const { return record_; }
-  std::uint64_t revision() const { return revision_; }
-  // Newest revision that is known to exist.
-  std::uint64_t newest() const { return newest_; }
+  std::uint64_t revision() const { return lag_.complete(); }
+  // Whether a newer record is known to exist.
+  bool isBehind() const { return lag_.isBehind(); }
 
   // The record as the store holds it. False if the copy is as new.
   bool noteRecord(OwnershipRecord record, std::uint64_t revision);
@@ -63,10 +64,7 @@
 private:
   OwnershipCopySettings settings_;
   std::shared_ptr<const OwnershipRecord> record_;
-  std::uint64_t revision_ = 0;
-  // Newest revision that was heard of, and since when it is newer than the copy.
-  std::uint64_t newest_ = 0;
-  base::TimePoint behindSince_{};
+  RevisionLag lag_;
   base::TimePoint lastWord_;
   base::TimePoint lastRead_{};
 };
--- a/libs/dispatch/include/dispatch/RelayedCopy.h
+++ b/libs/dispatch/include/dispatch/RelayedCopy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/Time.h>
+#include <dispatch/RevisionLag.h>
 
 #include <cstdint>
 #include <set>
@@ -51,9 +52,9 @@
   void noteRead(std::uint64_t revision);
 
   // Revision up to which the copy holds all changes.
-  std::uint64_t complete() const { return complete_; }
+  std::uint64_t complete() const { return lag_.complete(); }
   // The newest revision that the relaying VM has told of.
-  std::uint64_t announced() const { return announced_; }
+  std::uint64_t announced() const { return lag_.announced(); }
 
   // Whether a watch of this VM's own is needed.
   bool mustWatch(base::TimePoint now) const { return now >= relayedUntil_; }
@@ -66,11 +67,9 @@
   RelaySettings settings_;
   // The last word of the relaying VM counts until then.
   base::TimePoint relayedUntil_{};
-  // Revision up to which this copy is complete, and the one that it should have.
-  std::uint64_t complete_ = 0;
-  std::uint64_t announced_ = 0;
-  // When a read is due if the copy is still old then.
-  base::TimePoint readAt_{};
+  RevisionLag lag_;
+  // Reads follow each other at this distance at least.
+  base::TimePoint nextRead_{};
   // Parts of the change to `partsOf_` that have arrived.
   std::uint64_t partsOf_ = 0;
   std::set<unsigned> parts_;
--- a/libs/dispatch/src/OwnershipCopy.cpp
+++ b/libs/dispatch/src/OwnershipCopy.cpp
@@ -12,19 +12,18 @@
 
 bool OwnershipCopy::noteRecord(OwnershipRecord record, std::uint64_t revision)
 {
-  if (revision <= revision_) {
+  if (revision <= lag_.complete()) {
     return false;
   }
   record_ = std::make_shared<const OwnershipRecord>(std::move(record));
-  revision_ = revision;
-  newest_ = std::max(newest_, revision);
+  lag_.noteComplete(revision);
   return true;
 }
 
 bool OwnershipCopy::noteDelta(const OwnershipDelta& delta, base::TimePoint now)
 {
   noteRevision(delta.revision, now);
-  if (!record_ || delta.previous != revision_) {
+  if (!record_ || delta.previous != lag_.complete()) {
     return false;
   }
   auto changed = std::make_shared<OwnershipRecord>(*record_);
@@ -34,26 +33,20 @@
   changed->coordinator = delta.coordinator;
   changed->epoch = delta.epoch;
   record_ = std::move(changed);
-  revision_ = delta.revision;
+  lag_.noteComplete(delta.revision);
   return true;
 }
 
 void OwnershipCopy::noteRevision(std::uint64_t revision, base::TimePoint now)
 {
   lastWord_ = now;
-  if (revision > newest_) {
-    if (newest_ <= revision_) {
-      behindSince_ = now;
-    }
-    newest_ = revision;
-  }
+  lag_.noteAnnounced(revision, now);
 }
 
 bool OwnershipCopy::shouldRead(base::TimePoint now)
 {
-  const bool behind = newest_ > revision_ && now >= behindSince_ + settings_.deltaTime;
   const bool silent = now >= lastWord_ + settings_.silence;
-  const bool urgent = !record_ || behind;
+  const bool urgent = !record_ || lag_.isOverdue(settings_.deltaTime, now);
   const base::Duration interval = urgent ? settings_.urgentInterval : settings_.readInterval;
   if ((!urgent && !silent) || now < lastRead_ + interval) {
     return false;
--- a/libs/dispatch/src/RelayedCopy.cpp
+++ b/libs/dispatch/src/RelayedCopy.cpp
@@ -1,21 +1,16 @@
 #include <dispatch/RelayedCopy.h>
 
-#include <algorithm>
-
 namespace sycamore::dispatch {
 
 void RelayedCopy::noteRelay(std::uint64_t revision, base::TimePoint now)
 {
   relayedUntil_ = now + settings_.silence;
-  if (revision > complete_ && revision > announced_) {
-    readAt_ = std::max(readAt_, now + settings_.changeTime);
-  }
-  announced_ = std::max(announced_, revision);
+  lag_.noteAnnounced(revision, now);
 }
 
 bool RelayedCopy::noteChange(const ChangePart& part)
 {
-  if (part.revision <= complete_ || part.previous > complete_) {
+  if (part.revision <= lag_.complete() || part.previous > lag_.complete()) {
     return false;
   }
   if (partsOf_ != part.revision) {
@@ -24,7 +19,7 @@
   }
   parts_.insert(part.part);
   if (parts_.size() == part.parts) {
-    complete_ = part.revision;
+    lag_.noteComplete(part.revision);
     parts_.clear();
   }
   return true;
@@ -32,15 +27,15 @@
 
 void RelayedCopy::noteRead(std::uint64_t revision)
 {
-  complete_ = std::max(complete_, revision);
+  lag_.noteComplete(revision);
 }
 
 bool RelayedCopy::mustRead(base::TimePoint now)
 {
-  if (announced_ <= complete_ || now < readAt_) {
+  if (!lag_.isOverdue(settings_.changeTime, now) || now < nextRead_) {
     return false;
   }
-  readAt_ = now + settings_.readInterval;
+  nextRead_ = now + settings_.readInterval;
   return true;
 }
 
--- a/libs/dispatch/tests/RelayedCopyTest.cpp
+++ b/libs/dispatch/tests/RelayedCopyTest.cpp
@@ -55,6 +55,19 @@
   CHECK_FALSE(copy.mustRead(clock.now()));
 }
 
+// Guards against a copy that stays old while changes follow closely on each other.
+TEST_CASE("further announcements don't put off the read of the first one")
+{
+  base::ManualClock clock;
+  RelayedCopy copy({});
+  copy.noteRead(10);
+  copy.noteRelay(12, clock.now());
+  clock.advance(milliseconds(100));
+  copy.noteRelay(13, clock.now());
+  clock.advance(milliseconds(50));
+  CHECK(copy.mustRead(clock.now()));
+}
+
 // Guards against a copy that counts as complete with a part of a change missing.
 TEST_CASE("a change in parts is complete with the last part, in any order")
 {
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -323,8 +323,7 @@
 // change.
 void EntryControl::readOwnership()
 {
-  readOwnership(ownership_.newest() > ownership_.revision() ? wire::Reading::MayBeOld
-                                                            : wire::Reading::Current);
+  readOwnership(ownership_.isBehind() ? wire::Reading::MayBeOld : wire::Reading::Current);
 }
 
 void EntryControl::readOwnership(wire::Reading reading)
@@ -348,8 +347,7 @@
       log_.write("ownership_unreadable", { { "error", error.what() } });
     }
   }
-  if (reading == wire::Reading::MayBeOld && store_.reachable() &&
-      ownership_.newest() > ownership_.revision()) {
+  if (reading == wire::Reading::MayBeOld && store_.reachable() && ownership_.isBehind()) {
     readOwnership(wire::Reading::Current);
   }
 }
