Let one piece of code serve where libs/entry had two

- Listener: the accept loops of CallerServer and ReadinessServer.
- IdleConnections: the lists of idle connections of ServerPool and CallClient; the latter's watches captured `this`, now they hold the list weakly.
- EntryControl: a record is adopted in one place instead of three; a message for all peers is encoded once instead of once a peer; candidates are sorted once a message instead of twice; the state of a handover is one epoch instead of two flags; a change goes to its mirror by kind instead of by a switch.
- Removed as dead: CoordinatorDuty's alive_ flag with its destructor, StoreCalls::total.
- The metric coordinator_silence_seconds counted from the clock's epoch until a coordinator was first heard; it counts from the start of the process.
Nothing else changes for callers, servers or the store.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <entry/ServerConnection.h>
+#include <entry/IdleConnections.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace sycamore::entry {
 
@@ -39,12 +38,10 @@
   struct Pending;
   using EndpointKey = std::pair<std::string, std::uint16_t>;
 
-  std::shared_ptr<ServerConnection> acquire(const dispatch::Endpoint& endpoint);
-  void keep(const dispatch::Endpoint& endpoint,
-            const std::shared_ptr<ServerConnection>& connection);
+  IdleConnections& idleOf(const dispatch::Endpoint& endpoint);
 
   asio::io_context& context_;
-  std::map<EndpointKey, std::vector<std::shared_ptr<ServerConnection>>> idle_;
+  std::map<EndpointKey, IdleConnections> idle_;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/CallerServer.h
+++ b/libs/entry/include/entry/CallerServer.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <entry/Asio.h>
 #include <entry/Dispatcher.h>
+#include <entry/Listener.h>
 
 #include <dispatch/EntrySettings.h>
 
-#include <functional>
 #include <memory>
 #include <set>
 
@@ -33,16 +32,14 @@
 private:
   friend class CallerConnection;
 
-  void accept();
+  void serve(tcp::socket socket);
   void remove(const std::shared_ptr<CallerConnection>& connection);
 
   asio::io_context& context_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer acceptTimer_;
   Dispatcher& dispatcher_;
   std::set<std::shared_ptr<CallerConnection>> connections_;
+  Listener listener_;
   bool draining_ = false;
-  bool stopped_ = false;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -15,8 +15,6 @@
   std::uint64_t writes = 0;
   // Calls without an answer, and those that the store refused.
   std::uint64_t failed = 0;
-
-  std::uint64_t total() const { return lists + watches + reads + writes; }
 };
 
 // What the control thread knows and does, for the metrics.
--- a/libs/entry/include/entry/CoordinatorDuty.h
+++ b/libs/entry/include/entry/CoordinatorDuty.h
@@ -31,7 +31,6 @@
                   dispatch::Coordinator self,
                   Confirmed confirmed,
                   Seen seen);
-  ~CoordinatorDuty();
 
   // Tries to become the coordinator by a conditional write, unless the record has a higher epoch
   // than the known one: another VM has just become it.
@@ -84,7 +83,6 @@
   bool storeReachable_ = true;
   // Orders of an earlier term of the duty don't count in a later one.
   std::uint64_t term_ = 0;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -61,16 +61,19 @@
 
   void registerSelf(std::uint64_t revision);
   void onRegistered(const StoreAnswer& answer);
+  std::string registration() const;
   // Reads the page of registered entry VMs after this name, and the pages that follow.
   void listPeers(const std::string& after = "");
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
   void onDomainsOut(const ObjectMirror::Objects& objects);
+  std::vector<std::string> peerAddresses() const;
   void relay(const ObjectChange& change);
   void onChange(const ObjectChange& change);
   void readOwnership();
   void readOwnership(wire::Reading reading);
   void onOwnershipRead(const StoreAnswer& answer, wire::Reading reading);
+  void adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision);
   void onOwnershipChanged();
   void onConfirmed(const dispatch::OwnershipRecord& record, const dispatch::OwnershipDelta& delta);
   void onPeer(const PeerMessage& message, const std::string& from);
@@ -79,7 +82,8 @@
   void tick();
   void sendBeats(base::TimePoint now);
   std::vector<dispatch::Candidate> successors(base::TimePoint now) const;
-  void considerHandover(base::TimePoint now);
+  bool handsOver() const;
+  void considerHandover(const std::vector<dispatch::Candidate>& order, base::TimePoint now);
   void sendReport();
   void feedCoordinator();
   void countForCoordinator(const std::map<base::ServiceId, dispatch::KeyCounts>& keys,
@@ -119,12 +123,11 @@
   // Epoch of the coordinator's duty for which the peers were listed.
   std::uint64_t listedEpoch_ = 0;
   bool leaving_ = false;
-  // Whether this VM wants another one to take the coordinator's duty. Once in a run: a successor
-  // that can't reach the store would make the duty go round.
-  bool handsOver_ = false;
-  bool handedOver_ = false;
+  // Epoch in which this VM has wanted another one to take the coordinator's duty; 0 if it hasn't.
+  // Once in a run: a successor that can't reach the store would make the duty go round.
+  std::uint64_t handoverEpoch_ = 0;
   base::TimePoint dutySince_{};
-  base::TimePoint coordinatorHeard_{};
+  base::TimePoint coordinatorHeard_ = base::SteadyClock().now();
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -6,6 +6,7 @@
 
 #include <dispatch/RelayedCopy.h>
 #include <dispatch/WatchCursor.h>
+#include <wire/WireError.h>
 
 #include <functional>
 #include <map>
@@ -44,6 +45,8 @@
                Changed changed,
                Found found);
 
+  wire::Kind kind() const { return settings_.kind; }
+
   void start();
 
   // Time passes: begins or ends watches and repeats reads. A relaying VM always watches.
@@ -69,6 +72,7 @@
   void follow(std::chrono::milliseconds pause);
   void report(std::vector<wire::WatchEvent> events, std::uint64_t revision);
   void noteReached();
+  void onUnreadable(const wire::WireError& error);
   void retry();
   void catchUp();
   void onCaughtUp(const StoreAnswer& answer, wire::Reading reading);
--- a/libs/entry/include/entry/PeerLink.h
+++ b/libs/entry/include/entry/PeerLink.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace sycamore::entry {
 
@@ -24,8 +25,11 @@
 
   // Sends to the same port of another entry VM.
   void send(const std::string& ip, const PeerMessage& message);
+  // Sends the same message to several.
+  void send(const std::vector<std::string>& ips, const PeerMessage& message);
 
 private:
+  void sendBytes(const std::string& ip, const std::string& bytes);
   void receive();
 
   asio::ip::udp::socket socket_;
--- a/libs/entry/include/entry/ReadinessServer.h
+++ b/libs/entry/include/entry/ReadinessServer.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <entry/Asio.h>
-
-#include <dispatch/EntrySettings.h>
+#include <entry/Listener.h>
 
 #include <functional>
+#include <string>
 
 namespace sycamore::entry {
 
@@ -18,13 +17,9 @@
                   std::function<std::string()> metrics);
 
 private:
-  void accept();
-
-  asio::io_context& context_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer acceptTimer_;
   std::function<bool()> ready_;
   std::function<std::string()> metrics_;
+  Listener listener_;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ServerPool.h
+++ b/libs/entry/include/entry/ServerPool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <entry/ServerConnection.h>
+#include <entry/IdleConnections.h>
 
 #include <dispatch/BackendServer.h>
 #include <dispatch/ColdStartShare.h>
@@ -14,7 +14,7 @@
 
 // One backend server as this entry VM uses it: its connections, its load and its cold start.
 // Traffic thread only.
-class ServerPool : public std::enable_shared_from_this<ServerPool>
+class ServerPool
 {
 public:
   // `phase` in [0, 1) differs between entry VMs.
@@ -42,7 +42,7 @@
   dispatch::ServerLoad load_;
   dispatch::ColdStartShare coldStart_;
   dispatch::TrialTurn trial_;
-  std::vector<std::shared_ptr<ServerConnection>> idle_;
+  IdleConnections idle_;
   std::size_t busy_ = 0;
 };
 
--- a/libs/entry/include/entry/SteadyTime.h
+++ b/libs/entry/include/entry/SteadyTime.h
@@ -6,6 +6,11 @@
 
 namespace sycamore::entry {
 
+inline base::TimePoint clockNow()
+{
+  return base::SteadyClock().now();
+}
+
 // A deadline as Asio's timers take it. Both count the host's monotonic clock.
 inline std::chrono::steady_clock::time_point steady(base::TimePoint time)
 {
--- a/libs/entry/include/entry/TrafficMetrics.h
+++ b/libs/entry/include/entry/TrafficMetrics.h
@@ -4,8 +4,6 @@
 #include <base/Time.h>
 #include <telemetry/LatencyCounts.h>
 
-#include <array>
-#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -1,5 +1,7 @@
 #include <entry/CallClient.h>
 
+#include <entry/SteadyTime.h>
+
 namespace sycamore::entry {
 
 struct CallClient::Pending
@@ -21,9 +23,12 @@
 
 void CallClient::call(Call call, Finished finished)
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   auto pending = std::make_shared<Pending>(context_);
-  pending->connection = acquire(call.endpoint);
+  pending->connection = idleOf(call.endpoint).take(now);
+  if (!pending->connection) {
+    pending->connection = std::make_shared<ServerConnection>(context_, call.endpoint);
+  }
   pending->finished = std::move(finished);
   std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.endpoint.ip +
                       ":" + std::to_string(call.endpoint.port) + "\r\n";
@@ -54,7 +59,7 @@
                                 [this, pending, endpoint = call.endpoint](ExchangeResult result) {
                                   pending->timer.cancel();
                                   if (result.reusable) {
-                                    keep(endpoint, pending->connection);
+                                    idleOf(endpoint).put(pending->connection);
                                   }
                                   if (pending->finished) {
                                     const Finished done = std::move(pending->finished);
@@ -64,29 +69,9 @@
                                 });
 }
 
-std::shared_ptr<ServerConnection> CallClient::acquire(const dispatch::Endpoint& endpoint)
-{
-  auto& idle = idle_[{ endpoint.ip, endpoint.port }];
-  const base::TimePoint now = base::SteadyClock().now();
-  while (!idle.empty()) {
-    auto connection = idle.back();
-    idle.pop_back();
-    if (connection->open() && now < connection->idleUntil()) {
-      return connection;
-    }
-    connection->abandon();
-  }
-  return std::make_shared<ServerConnection>(context_, endpoint);
-}
-
-void CallClient::keep(const dispatch::Endpoint& endpoint,
-                      const std::shared_ptr<ServerConnection>& connection)
+IdleConnections& CallClient::idleOf(const dispatch::Endpoint& endpoint)
 {
-  const EndpointKey key{ endpoint.ip, endpoint.port };
-  idle_[key].push_back(connection);
-  connection->watchIdle([this, key, raw = connection.get()] {
-    std::erase_if(idle_[key], [raw](const auto& idle) { return idle.get() == raw; });
-  });
+  return idle_[{ endpoint.ip, endpoint.port }];
 }
 
 } // namespace sycamore::entry
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -54,7 +54,7 @@
   state_ = State::Reading;
   continued_ = false;
   reader_.start(limits.headerBytes, limits.bodyBytes);
-  began_ = base::SteadyClock().now();
+  began_ = clockNow();
   deadline_ = began_ + limits.idleTimeout;
 }
 
@@ -87,7 +87,7 @@
   const bool first = state_ == State::Reading && !reader_.begun() && in_.empty();
   in_.append(chunk_.data(), count);
   if (first) {
-    began_ = base::SteadyClock().now();
+    began_ = clockNow();
     deadline_ = began_ + server_.dispatcher_.callerLimits().headerTimeout;
     armTimer();
   }
@@ -103,7 +103,7 @@
   switch (reader_.feed(in_)) {
     case ReadState::NeedMore:
       if (reader_.headerDone() && !hadHeader) {
-        deadline_ = base::SteadyClock().now() + server_.dispatcher_.callerLimits().idleTimeout;
+        deadline_ = clockNow() + server_.dispatcher_.callerLimits().idleTimeout;
         armTimer();
       }
       continueIfExpected();
@@ -176,7 +176,7 @@
 void CallerConnection::write(std::string bytes, bool close)
 {
   state_ = State::Writing;
-  deadline_ = base::SteadyClock().now() + kWriteTime;
+  deadline_ = clockNow() + kWriteTime;
   armTimer();
   out_ = std::move(bytes);
   asio::async_write(socket_,
@@ -201,7 +201,7 @@
     in_.clear();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    deadline_ = base::SteadyClock().now() + kCloseTime;
+    deadline_ = clockNow() + kCloseTime;
     armTimer();
     read();
     return;
@@ -211,7 +211,7 @@
   if (!in_.empty()) {
     process();
   }
-  if (server_.stopped_ && !active()) {
+  if (server_.listener_.stopped() && !active()) {
     this->close();
     return;
   }
@@ -244,7 +244,7 @@
   if (closed_) {
     return;
   }
-  if (base::SteadyClock().now() < deadline_) {
+  if (clockNow() < deadline_) {
     armTimer();
     return;
   }
--- a/libs/entry/src/CoordinatorDuty.cpp
+++ b/libs/entry/src/CoordinatorDuty.cpp
@@ -1,6 +1,7 @@
 #include <entry/CoordinatorDuty.h>
 
 #include <entry/ServerPool.h>
+#include <entry/SteadyTime.h>
 
 #include <wire/ServerProtocol.h>
 #include <wire/WireError.h>
@@ -19,11 +20,6 @@
 // A release is answered when the work on its keys has ended.
 constexpr base::Duration kReleaseTime = base::milliseconds(1000);
 
-base::TimePoint clockNow()
-{
-  return base::SteadyClock().now();
-}
-
 } // namespace
 
 CoordinatorDuty::CoordinatorDuty(CallClient& calls,
@@ -43,11 +39,6 @@
 {
 }
 
-CoordinatorDuty::~CoordinatorDuty()
-{
-  *alive_ = false;
-}
-
 void CoordinatorDuty::tryAcquire(std::uint64_t knownEpoch)
 {
   if (acquiring_ || active()) {
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include <entry/Dispatcher.h>
 
 #include <entry/RequestRun.h>
+#include <entry/SteadyTime.h>
 
 #include <algorithm>
 
@@ -70,7 +71,7 @@
 
 void Dispatcher::noteRemoteBreak(std::uint64_t digest, const std::string& serverLife)
 {
-  suspects_.noteBroken(digest, serverLife, base::SteadyClock().now());
+  suspects_.noteBroken(digest, serverLife, clockNow());
 }
 
 const dispatch::CallerLimits& Dispatcher::callerLimits() const
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -1,5 +1,7 @@
 #include <entry/EntryControl.h>
 
+#include <entry/SteadyTime.h>
+
 #include <wire/WireError.h>
 
 #include <algorithm>
@@ -30,11 +32,6 @@
 // Most breaks told in one message.
 constexpr std::size_t kMaxBreaks = 32;
 
-base::TimePoint clockNow()
-{
-  return base::SteadyClock().now();
-}
-
 dispatch::CoordinatorSettings coordinatorSettings(const dispatch::EntrySettings& settings)
 {
   dispatch::CoordinatorSettings result;
@@ -70,9 +67,7 @@
         onConfirmed(record, delta);
       },
       [this](const dispatch::OwnershipRecord& record, std::uint64_t revision) {
-        if (ownership_.noteRecord(record, revision)) {
-          onOwnershipChanged();
-        }
+        adoptRecord(record, revision);
       })
   , election_({}, clockNow())
   , configurationMirror_(
@@ -158,14 +153,18 @@
 // replaced.
 void EntryControl::registerSelf(std::uint64_t revision)
 {
-  const dispatch::EntryVmRecord own{ settings_.ip, settings_.capacity };
   store_.write(wire::Kind::EntryVms,
                settings_.vm.value(),
                revision,
-               dispatch::writeEntryVmRecord(own),
+               registration(),
                [this](const StoreAnswer& answer) { onRegistered(answer); });
 }
 
+std::string EntryControl::registration() const
+{
+  return dispatch::writeEntryVmRecord({ settings_.ip, settings_.capacity });
+}
+
 void EntryControl::onRegistered(const StoreAnswer& answer)
 {
   if (answer.outcome == StoreOutcome::Done) {
@@ -175,8 +174,7 @@
   if (answer.outcome == StoreOutcome::Conflict) {
     try {
       const wire::StoreObject object = wire::readObject(answer.body);
-      const dispatch::EntryVmRecord own{ settings_.ip, settings_.capacity };
-      if (wire::ownContent(object) == dispatch::writeEntryVmRecord(own)) {
+      if (wire::ownContent(object) == registration()) {
         listPeers();
       } else {
         registerSelf(object.revision);
@@ -312,11 +310,19 @@
   if (!duty_.active()) {
     return;
   }
+  const std::vector<std::string> addresses = peerAddresses();
   for (const ObjectChange& part : splitChange(change)) {
-    for (const auto& [vm, peer] : peerTable_) {
-      peers_.send(peer.address, ChangeMessage{ part });
-    }
+    peers_.send(addresses, ChangeMessage{ part });
+  }
+}
+
+std::vector<std::string> EntryControl::peerAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [vm, peer] : peerTable_) {
+    addresses.push_back(peer.address);
   }
+  return addresses;
 }
 
 // A record that is known to have changed may be read from an old copy of the store, if that has the
@@ -339,10 +345,7 @@
   if (answer.outcome == StoreOutcome::Done) {
     try {
       const wire::StoreObject object = wire::readObject(answer.body);
-      auto record = dispatch::readOwnershipRecord(wire::ownContent(object));
-      if (ownership_.noteRecord(std::move(record), object.revision)) {
-        onOwnershipChanged();
-      }
+      adoptRecord(dispatch::readOwnershipRecord(wire::ownContent(object)), object.revision);
     } catch (const base::Error& error) {
       log_.write("ownership_unreadable", { { "error", error.what() } });
     }
@@ -352,6 +355,13 @@
   }
 }
 
+void EntryControl::adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision)
+{
+  if (ownership_.noteRecord(std::move(record), revision)) {
+    onOwnershipChanged();
+  }
+}
+
 void EntryControl::onOwnershipChanged()
 {
   view_.ownership = ownership_.record();
@@ -367,12 +377,8 @@
 void EntryControl::onConfirmed(const dispatch::OwnershipRecord& record,
                                const dispatch::OwnershipDelta& delta)
 {
-  if (ownership_.noteRecord(record, delta.revision)) {
-    onOwnershipChanged();
-  }
-  for (const auto& [vm, peer] : peerTable_) {
-    peers_.send(peer.address, DeltaMessage{ delta });
-  }
+  adoptRecord(record, delta.revision);
+  peers_.send(peerAddresses(), DeltaMessage{ delta });
 }
 
 void EntryControl::onPeer(const PeerMessage& message, const std::string& from)
@@ -429,19 +435,10 @@
 
 void EntryControl::onChange(const ObjectChange& change)
 {
-  switch (change.kind) {
-    case wire::Kind::Configuration:
-      configurationMirror_.noteChange(change);
-      break;
-    case wire::Kind::Servers:
-      serversMirror_.noteChange(change);
-      break;
-    case wire::Kind::DomainsOut:
-      domainsOutMirror_.noteChange(change);
-      break;
-    case wire::Kind::Ownership:
-    case wire::Kind::EntryVms:
-      break;
+  for (ObjectMirror* mirror : mirrors_) {
+    if (mirror->kind() == change.kind) {
+      mirror->noteChange(change);
+    }
   }
 }
 
@@ -469,9 +466,6 @@
   if (duty_.active()) {
     feedCoordinator();
     duty_.tick(now);
-  } else if (handsOver_) {
-    // Another VM has taken the duty.
-    handsOver_ = false;
   } else if (!leaving_ && view_.servers && view_.configuration &&
              election_.shouldTry(rank_, store_.reachable(), now)) {
     duty_.tryAcquire(view_.ownership ? view_.ownership->epoch : 0);
@@ -506,9 +500,10 @@
     listPeers();
   }
   BeatMessage message;
-  considerHandover(now);
+  const std::vector<dispatch::Candidate> order = successors(now);
+  considerHandover(order, now);
   message.beat = {
-    self_, duty_.coordinator()->record().epoch, duty_.storeReachable(), leaving_ || handsOver_
+    self_, duty_.coordinator()->record().epoch, duty_.storeReachable(), leaving_ || handsOver()
   };
   message.entryVms = static_cast<unsigned>(sharers(now));
   message.revision = duty_.revision();
@@ -521,7 +516,6 @@
   }
   setEntryVms(message.entryVms);
   // VMs that have fallen silent get the last place: they may be back.
-  const std::vector<dispatch::Candidate> order = successors(now);
   std::map<base::VmId, unsigned> ranks;
   for (const dispatch::Candidate& candidate : order) {
     ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
@@ -546,16 +540,20 @@
   return order;
 }
 
+bool EntryControl::handsOver() const
+{
+  return handoverEpoch_ != 0 && duty_.coordinator()->record().epoch == handoverEpoch_;
+}
+
 // The first coordinator is whoever was first to write the record.
-void EntryControl::considerHandover(base::TimePoint now)
+void EntryControl::considerHandover(const std::vector<dispatch::Candidate>& order,
+                                    base::TimePoint now)
 {
-  const auto order = successors(now);
-  if (handsOver_ || handedOver_ || order.empty() || now < dutySince_ + kHandoverAfter ||
+  if (handoverEpoch_ != 0 || order.empty() || now < dutySince_ + kHandoverAfter ||
       !dispatch::isWorthHandover(settings_.capacity, order.front())) {
     return;
   }
-  handsOver_ = true;
-  handedOver_ = true;
+  handoverEpoch_ = duty_.coordinator()->record().epoch;
   log_.write("coordinator_hands_over",
              { { "to", order.front().vm.value() },
                { "capacity", order.front().capacity },
--- a/libs/entry/src/HttpText.cpp
+++ b/libs/entry/src/HttpText.cpp
@@ -19,11 +19,6 @@
   http::field::expect,           http::field::http2_settings
 };
 
-std::string_view view(boost::beast::string_view text)
-{
-  return { text.data(), text.size() };
-}
-
 // Headers that the Connection header names concern the connection as well.
 std::vector<std::string> namedByConnection(const wire::Fields& fields)
 {
--- /dev/null
+++ b/libs/entry/src/IdleConnections.cpp
@@ -0,0 +1,36 @@
+#include <entry/IdleConnections.h>
+
+namespace sycamore::entry {
+
+std::shared_ptr<ServerConnection> IdleConnections::take(base::TimePoint now)
+{
+  while (!list_->empty()) {
+    auto connection = list_->back();
+    list_->pop_back();
+    if (connection->open() && now < connection->idleUntil()) {
+      return connection;
+    }
+    connection->abandon();
+  }
+  return nullptr;
+}
+
+void IdleConnections::put(const std::shared_ptr<ServerConnection>& connection)
+{
+  list_->push_back(connection);
+  connection->watchIdle([weak = std::weak_ptr(list_), raw = connection.get()] {
+    if (const auto list = weak.lock()) {
+      std::erase_if(*list, [raw](const auto& idle) { return idle.get() == raw; });
+    }
+  });
+}
+
+void IdleConnections::drop()
+{
+  for (const auto& connection : *list_) {
+    connection->abandon();
+  }
+  list_->clear();
+}
+
+} // namespace sycamore::entry
--- /dev/null
+++ b/libs/entry/src/Listener.cpp
@@ -0,0 +1,55 @@
+#include <entry/Listener.h>
+
+namespace sycamore::entry {
+
+namespace {
+
+// Pause after accept() has failed, for lack of descriptors in the main.
+constexpr std::chrono::milliseconds kAcceptPause{ 20 };
+
+} // namespace
+
+Listener::Listener(asio::io_context& context,
+                   const dispatch::Endpoint& address,
+                   int backlog,
+                   Accepted accepted)
+  : acceptor_(context)
+  , retryTimer_(context)
+  , accepted_(std::move(accepted))
+{
+  const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(backlog);
+  accept();
+}
+
+void Listener::stop()
+{
+  stopped_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void Listener::accept()
+{
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || stopped_) {
+      return;
+    }
+    if (error) {
+      retryTimer_.expires_after(kAcceptPause);
+      retryTimer_.async_wait([this](const error_code& waitError) {
+        if (!waitError) {
+          accept();
+        }
+      });
+      return;
+    }
+    accepted_(std::move(socket));
+    accept();
+  });
+}
+
+} // namespace sycamore::entry
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -1,6 +1,6 @@
 #include <entry/ObjectMirror.h>
 
-#include <wire/WireError.h>
+#include <entry/SteadyTime.h>
 
 #include <algorithm>
 
@@ -142,8 +142,7 @@
       return;
     }
   } catch (const wire::WireError& error) {
-    log_.write("store_answer_unreadable", { { "error", error.what() } });
-    retry();
+    onUnreadable(error);
     return;
   }
   noteReached();
@@ -180,7 +179,7 @@
 void ObjectMirror::watch()
 {
   store_.watch(settings_.kind,
-               cursor_.from(base::SteadyClock().now()),
+               cursor_.from(clockNow()),
                settings_.wait,
                wire::Reading::Current,
                [this](StoreAnswer answer) { onWatch(answer); });
@@ -205,7 +204,7 @@
         events.push_back(event);
       }
     }
-    cursor_.notePage(page.revision, !page.events.empty(), base::SteadyClock().now());
+    cursor_.notePage(page.revision, !page.events.empty(), clockNow());
     if (!events.empty()) {
       copy_.noteRead(page.revision);
       report(std::move(events), page.revision);
@@ -215,8 +214,7 @@
       return;
     }
   } catch (const wire::WireError& error) {
-    log_.write("store_answer_unreadable", { { "error", error.what() } });
-    retry();
+    onUnreadable(error);
     return;
   }
   noteReached();
@@ -245,7 +243,7 @@
 // Goes on watching, or leaves that to the relaying VM.
 void ObjectMirror::follow(std::chrono::milliseconds pause)
 {
-  if (!relays_ && !copy_.mustWatch(base::SteadyClock().now())) {
+  if (!relays_ && !copy_.mustWatch(clockNow())) {
     busy_ = false;
     watching_ = false;
     return;
@@ -279,6 +277,12 @@
   return true;
 }
 
+void ObjectMirror::onUnreadable(const wire::WireError& error)
+{
+  log_.write("store_answer_unreadable", { { "error", error.what() } });
+  retry();
+}
+
 // Reads everything again: a store that cuts watches may have dropped changes without saying so.
 void ObjectMirror::retry()
 {
@@ -302,7 +306,7 @@
     if (error) {
       return;
     }
-    const base::TimePoint now = base::SteadyClock().now();
+    const base::TimePoint now = clockNow();
     if (!relays_ && !copy_.mustWatch(now)) {
       busy_ = false;
     } else if (store_.mayAsk(now)) {
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -12,8 +12,20 @@
 }
 
 void PeerLink::send(const std::string& ip, const PeerMessage& message)
+{
+  sendBytes(ip, encodePeerMessage(message));
+}
+
+void PeerLink::send(const std::vector<std::string>& ips, const PeerMessage& message)
 {
   const std::string bytes = encodePeerMessage(message);
+  for (const std::string& ip : ips) {
+    sendBytes(ip, bytes);
+  }
+}
+
+void PeerLink::sendBytes(const std::string& ip, const std::string& bytes)
+{
   error_code error;
   const auto address = asio::ip::make_address(ip, error);
   if (!error) {
--- a/libs/entry/src/ReadinessServer.cpp
+++ b/libs/entry/src/ReadinessServer.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint64_t kBodyLimit = 16 * 1024;
 // Connections without a question for this time are closed.
 constexpr std::chrono::seconds kIdleTime{ 30 };
-constexpr std::chrono::milliseconds kAcceptPause{ 20 };
 constexpr std::string_view kMetricsPath = "/metrics";
 
 struct Session : std::enable_shared_from_this<Session>
@@ -62,7 +61,7 @@
 
   void answer(const Request& request)
   {
-    const std::string_view path(request.target().data(), request.target().size());
+    const std::string_view path = view(request.target());
     CallerAnswer result;
     if (wire::isReadinessPath(path)) {
       result = ready() ? ownAnswer(200, "", "ready") : ownAnswer(503, "", "not ready");
@@ -100,38 +99,15 @@
                                  const dispatch::Endpoint& listen,
                                  std::function<bool()> ready,
                                  std::function<std::string()> metrics)
-  : context_(context)
-  , acceptor_(context)
-  , acceptTimer_(context)
-  , ready_(std::move(ready))
+  : ready_(std::move(ready))
   , metrics_(std::move(metrics))
+  , listener_(context,
+              listen,
+              asio::socket_base::max_listen_connections,
+              [this](tcp::socket socket) {
+                std::make_shared<Session>(std::move(socket), ready_, metrics_)->read();
+              })
 {
-  const tcp::endpoint endpoint(asio::ip::make_address(listen.ip), listen.port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
-  accept();
-}
-
-void ReadinessServer::accept()
-{
-  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
-      return;
-    }
-    if (error) {
-      acceptTimer_.expires_after(kAcceptPause);
-      acceptTimer_.async_wait([this](const error_code& waitError) {
-        if (!waitError) {
-          accept();
-        }
-      });
-      return;
-    }
-    std::make_shared<Session>(std::move(socket), ready_, metrics_)->read();
-    accept();
-  });
 }
 
 } // namespace sycamore::entry
--- a/libs/entry/src/RequestRun.cpp
+++ b/libs/entry/src/RequestRun.cpp
@@ -30,11 +30,6 @@
 // One in so many served requests is logged.
 constexpr std::uint64_t kServedSample = 256;
 
-std::string_view view(boost::beast::string_view text)
-{
-  return { text.data(), text.size() };
-}
-
 std::uint64_t digestOf(const Request& request)
 {
   std::string identity(view(request.method_string()));
@@ -79,7 +74,7 @@
     end(404, "no route");
     return;
   }
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   endBy_ = began_ + std::min(route_->timeout, facts_.patience.value_or(kAssumedPatience));
   service_ = dispatcher_.routes_->nextTarget(*route_);
   digest_ = digestOf(request_);
@@ -129,7 +124,7 @@
 
 void RequestRun::send()
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const bool keyed = dispatcher_.isKeyed(service_);
   const Dispatcher::Choice choice =
     keyed && facts_.key ? dispatcher_.chooseOwner(*this, now) : dispatcher_.chooseAny(*this, now);
@@ -175,7 +170,7 @@
 
 void RequestRun::onResult(ExchangeResult result)
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const auto facts = wire::readAnswerFacts(result.answer.result_int(), result.answer);
   dispatch::ServerLoad& load = pool_->load();
   const std::string life = dispatch::lifeOf(pool_->server().id, pool_->server().born);
@@ -247,7 +242,7 @@
 // its grant, or have passed the key on.
 void RequestRun::onNotRun(const ServerAnswer& answer)
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const unsigned status = answer.result_int();
   const auto load = wire::readAnswerFacts(status, answer).load;
   // A server that refuses while slots are free has another reason, and may take the next one.
@@ -278,7 +273,7 @@
 void RequestRun::onNotSent()
 {
   ++failedConnects_;
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const bool keyed = dispatcher_.isKeyed(service_);
   if (!keyed && failedConnects_ <= kMaxFailedConnects && now < endBy_) {
     send();
@@ -295,7 +290,7 @@
 
 void RequestRun::onUnknown(const char* why)
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const bool repeatable = route_->repeatability == dispatch::Repeatability::Idempotent &&
                           !dispatcher_.suspects_.refuses(digest_, now);
   if (repeatable && mayResend(now) && withdrawRetry(now)) {
@@ -351,7 +346,7 @@
     // A server that hasn't answered anything meanwhile may be lost, or the connection may have gone
     // silent, and others with it. One that has answered is only slow.
     if (pool_->load().answeredAt() < sentAt_) {
-      pool_->load().noteFailure(base::SteadyClock().now());
+      pool_->load().noteFailure(clockNow());
       pool_->dropIdle();
     }
     connection_->abandon();
@@ -399,7 +394,7 @@
   if (!answered_) {
     outcome = promisesNotRun(status) ? RequestOutcome::Refused : RequestOutcome::Failed;
   }
-  dispatcher_.metrics_.record(service_, route_->name, outcome, base::SteadyClock().now() - began_);
+  dispatcher_.metrics_.record(service_, route_->name, outcome, clockNow() - began_);
 }
 
 // One line for each request that wasn't served, within the log's bound, and for some of the others.
@@ -409,7 +404,7 @@
   if (served && digest_ % kServedSample != 0) {
     return;
   }
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   const auto milliseconds = [](base::Duration duration) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
   };
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -28,7 +28,7 @@
   if (found == answer.end()) {
     return kAssumedIdle;
   }
-  const std::string_view text(found->value().data(), found->value().size());
+  const std::string_view text = view(found->value());
   const std::size_t at = text.find("timeout=");
   if (at == std::string_view::npos) {
     return kAssumedIdle;
@@ -199,7 +199,7 @@
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.reusable = open_ && written_ && in_.empty() && result.answer.keep_alive();
-    idleUntil_ = base::SteadyClock().now() + announcedIdle(result.answer);
+    idleUntil_ = clockNow() + announcedIdle(result.answer);
   }
   if (!result.reusable) {
     close();
--- a/libs/entry/src/ServerPool.cpp
+++ b/libs/entry/src/ServerPool.cpp
@@ -1,6 +1,7 @@
 #include <entry/ServerPool.h>
 
-#include <algorithm>
+#include <entry/SteadyTime.h>
+
 #include <charconv>
 
 namespace sycamore::entry {
@@ -30,20 +31,15 @@
   , server_(server)
   , load_(server.slots, kAssumedWork)
   , coldStart_(phase)
-  , trial_(phase, base::SteadyClock().now())
+  , trial_(phase, clockNow())
 {
 }
 
 std::shared_ptr<ServerConnection> ServerPool::acquire(std::size_t limit, base::TimePoint now)
 {
-  while (!idle_.empty()) {
-    auto connection = idle_.back();
-    idle_.pop_back();
-    if (connection->open() && now < connection->idleUntil()) {
-      ++busy_;
-      return connection;
-    }
-    connection->abandon();
+  if (auto connection = idle_.take(now)) {
+    ++busy_;
+    return connection;
   }
   if (busy_ >= limit) {
     return nullptr;
@@ -55,23 +51,14 @@
 void ServerPool::giveBack(const std::shared_ptr<ServerConnection>& connection, bool reusable)
 {
   busy_ -= busy_ > 0 ? 1 : 0;
-  if (!reusable || !connection->open()) {
-    return;
+  if (reusable && connection->open()) {
+    idle_.put(connection);
   }
-  idle_.push_back(connection);
-  connection->watchIdle([weak = weak_from_this(), raw = connection.get()] {
-    if (const auto self = weak.lock()) {
-      std::erase_if(self->idle_, [raw](const auto& idle) { return idle.get() == raw; });
-    }
-  });
 }
 
 void ServerPool::dropIdle()
 {
-  for (const auto& connection : idle_) {
-    connection->abandon();
-  }
-  idle_.clear();
+  idle_.drop();
 }
 
 } // namespace sycamore::entry
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "EntryProcess.h"
 
 #include <base/Error.h>
+#include <entry/SteadyTime.h>
 
 #include <boost/asio/post.hpp>
 
@@ -121,7 +122,7 @@
 void EntryProcess::onStatus(const ControlStatus& status)
 {
   status_ = status;
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   if (now < nextStatusLine_) {
     return;
   }
@@ -207,7 +208,7 @@
     return;
   }
   draining_ = true;
-  drainBegan_ = base::SteadyClock().now();
+  drainBegan_ = clockNow();
   log_.write("drain", { { "connections", callers_.connections() } });
   callers_.beginDrain();
   asio::post(control_, [this] { entryControl_.beginDrain(); });
@@ -216,7 +217,7 @@
 
 void EntryProcess::checkDrained()
 {
-  const base::TimePoint now = base::SteadyClock().now();
+  const base::TimePoint now = clockNow();
   if (!stoppedAccepting_ && now >= drainBegan_ + kKeepAccepting) {
     stoppedAccepting_ = true;
     callers_.stopAccepting();
