--- a/libs/dispatch/include/dispatch/EntrySettings.h
+++ b/libs/dispatch/include/dispatch/EntrySettings.h
@@ -34,6 +34,8 @@
   std::uint16_t metricsPort = 0;
   // Processor cores that the process may use.
   double capacity = 1;
+  // Memory that the process may use, in bytes.
+  std::uint64_t memoryBytes = 256ULL * 1024 * 1024;
 
   // Time from SIGTERM to SIGKILL.
   base::Duration shutdownGracePeriod = std::chrono::seconds(6);
--- a/libs/dispatch/include/dispatch/EntryVmRecord.h
+++ b/libs/dispatch/include/dispatch/EntryVmRecord.h
@@ -12,6 +12,7 @@
 struct EntryVmRecord
 {
   std::string address;
+  base::DomainId domain;
   // Processor cores that its process may use.
   double capacity = 1;
 
--- a/libs/dispatch/include/dispatch/OwnershipCopy.h
+++ b/libs/dispatch/include/dispatch/OwnershipCopy.h
@@ -46,6 +46,8 @@
   // Returns null until the record has been read.
   const std::shared_ptr<const OwnershipRecord>& record() const { return record_; }
   std::uint64_t revision() const { return lag_.complete(); }
+  // Returns the newest revision that the coordinator has announced.
+  std::uint64_t announcedRevision() const { return lag_.announced(); }
   // Returns whether a newer record is known to exist.
   bool isBehind() const { return lag_.isBehind(); }
 
--- a/libs/dispatch/src/EntryVmRecord.cpp
+++ b/libs/dispatch/src/EntryVmRecord.cpp
@@ -15,14 +15,20 @@
 
 std::string writeEntryVmRecord(const EntryVmRecord& record)
 {
-  return nlohmann::json{ { "address", record.address }, { "capacity", record.capacity } }.dump();
+  return nlohmann::json{
+    { "address", record.address },
+    { "domain", record.domain.value() },
+    { "capacity", record.capacity }
+  }.dump();
 }
 
 EntryVmRecord readEntryVmRecord(const std::string& text)
 {
   try {
     const nlohmann::json json = nlohmann::json::parse(text);
-    return { json.at("address").get<std::string>(), json.at("capacity").get<double>() };
+    return { json.at("address").get<std::string>(),
+             base::DomainId(json.at("domain").get<std::string>()),
+             json.at("capacity").get<double>() };
   } catch (const nlohmann::json::exception& error) {
     throw std::invalid_argument(std::string("record of an entry VM: ") + error.what());
   }
--- /dev/null
+++ b/libs/dispatch/src/PeerTable.cpp
@@ -0,0 +1,57 @@
+#include <dispatch/PeerTable.h>
+
+#include <algorithm>
+
+namespace sycamore::dispatch {
+
+void PeerTable::onRegistered(const base::VmId& vm, const EntryVmRecord& record, base::TimePoint now)
+{
+  peers_.try_emplace(vm, FanoutPeer{ vm, record.address, record.domain, record.capacity, now });
+}
+
+void PeerTable::onReport(const base::VmId& vm,
+                         const EntryVmRecord& record,
+                         bool leaving,
+                         base::TimePoint now)
+{
+  peers_[vm] = {
+    vm, record.address, record.domain, record.capacity, leaving ? base::TimePoint{} : now
+  };
+}
+
+std::vector<FanoutPeer> PeerTable::receivers() const
+{
+  std::vector<FanoutPeer> receivers;
+  for (const auto& [vm, peer] : peers_) {
+    receivers.push_back(peer);
+  }
+  return receivers;
+}
+
+std::vector<Candidate> PeerTable::successors(base::TimePoint now) const
+{
+  std::vector<Candidate> order;
+  for (const auto& [vm, peer] : peers_) {
+    if (now < peer.lastHeardAt + settings_.candidateTimeout) {
+      order.push_back({ vm, peer.capacity });
+    }
+  }
+  sortBySuccession(order);
+  return order;
+}
+
+std::size_t PeerTable::vmsSharingLimits(base::TimePoint now) const
+{
+  const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
+    return now < entry.second.lastHeardAt + settings_.limitShareTimeout;
+  });
+  return static_cast<std::size_t>(peers) + 1;
+}
+
+bool PeerTable::isInDomain(const base::VmId& vm, const base::DomainId& domain) const
+{
+  const auto found = peers_.find(vm);
+  return found != peers_.end() && found->second.domain == domain;
+}
+
+} // namespace sycamore::dispatch
--- a/libs/dispatch/tests/EntryVmRecordTest.cpp
+++ b/libs/dispatch/tests/EntryVmRecordTest.cpp
@@ -9,10 +9,11 @@
 
 TEST_CASE("a record of an entry VM survives a round trip, and malformed ones are refused")
 {
-  const EntryVmRecord record{ "10.1.0.34", 0.2 };
+  const EntryVmRecord record{ "10.1.0.34", base::DomainId("a"), 0.2 };
   CHECK(readEntryVmRecord(writeEntryVmRecord(record)) == record);
   CHECK_THROWS_AS(readEntryVmRecord("10.1.0.34"), std::invalid_argument);
-  CHECK_THROWS_AS(readEntryVmRecord(R"({"address":"10.1.0.34"})"), std::invalid_argument);
+  CHECK_THROWS_AS(readEntryVmRecord(R"({"address":"10.1.0.34","domain":"a"})"),
+                  std::invalid_argument);
 }
 
 // Guards against a coordinator on a VM whose share of a core is too small for the grants of all
--- /dev/null
+++ b/libs/entry/include/entry/BufferQuota.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace sycamore::entry {
+
+class BufferReservation;
+
+// Bounds the memory that the buffers of all connections take together. Used by one thread only.
+class BufferQuota
+{
+public:
+  // `limit` in bytes.
+  explicit BufferQuota(std::uint64_t limit)
+    : used_(std::make_shared<std::uint64_t>(0))
+    , limit_(limit)
+  {
+  }
+
+  std::uint64_t limit() const { return limit_; }
+  std::uint64_t used() const { return *used_; }
+
+  // Returns a reservation of 0 bytes, which may outlive the quota.
+  BufferReservation reserve() const;
+
+private:
+  std::shared_ptr<std::uint64_t> used_;
+  std::uint64_t limit_;
+};
+
+// Bytes reserved from a quota, returned to it when this object is destroyed or cleared.
+class BufferReservation
+{
+public:
+  BufferReservation() = default;
+  BufferReservation(std::shared_ptr<std::uint64_t> used, std::uint64_t limit)
+    : used_(std::move(used))
+    , limit_(limit)
+  {
+  }
+  BufferReservation(BufferReservation&& other) noexcept { *this = std::move(other); }
+  BufferReservation& operator=(BufferReservation&& other) noexcept
+  {
+    if (this != &other) {
+      clear();
+      used_ = std::move(other.used_);
+      limit_ = other.limit_;
+      bytes_ = other.bytes_;
+      other.bytes_ = 0;
+    }
+    return *this;
+  }
+  BufferReservation(const BufferReservation&) = delete;
+  BufferReservation& operator=(const BufferReservation&) = delete;
+  ~BufferReservation() { clear(); }
+
+  // Adds bytes. Returns false, without a change, if the quota has no room for them.
+  bool tryAdd(std::uint64_t bytes)
+  {
+    if (!used_) {
+      return true;
+    }
+    if (bytes > limit_ || *used_ > limit_ - bytes) {
+      return false;
+    }
+    *used_ += bytes;
+    bytes_ += bytes;
+    return true;
+  }
+
+  std::uint64_t bytes() const { return bytes_; }
+
+  void clear()
+  {
+    if (used_) {
+      *used_ -= bytes_;
+    }
+    bytes_ = 0;
+  }
+
+private:
+  std::shared_ptr<std::uint64_t> used_;
+  std::uint64_t limit_ = 0;
+  std::uint64_t bytes_ = 0;
+};
+
+inline BufferReservation BufferQuota::reserve() const
+{
+  return { used_, limit_ };
+}
+
+} // namespace sycamore::entry
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -30,7 +30,8 @@
 public:
   using Finished = std::function<void(ExchangeResult)>;
 
-  explicit CallClient(asio::io_context& context);
+  // `quota` bounds the memory for answers.
+  CallClient(asio::io_context& context, const BufferQuota& quota);
 
   void call(Call call, Finished finished);
 
@@ -41,6 +42,7 @@
   IdleConnections& idleConnectionsOf(const dispatch::Endpoint& endpoint);
 
   asio::io_context& context_;
+  BufferQuota quota_;
   std::map<EndpointKey, IdleConnections> idleConnections_;
 };
 
--- a/libs/entry/include/entry/CallerConnection.h
+++ b/libs/entry/include/entry/CallerConnection.h
@@ -21,10 +21,12 @@
 
   void start();
 
-  // Returns whether a request has begun to arrive, is being handled or is being answered.
+  // Returns whether a request has begun to arrive, is being handled or is being answered, or
+  // whether the first request of a new connection is still expected.
   bool hasActiveRequest() const;
 
-  // Closes the connection if no request is active on it.
+  // Closes the connection if no request is active on it, now or after the first request of a new
+  // connection hasn't arrived in time.
   void closeIdle();
 
 private:
@@ -44,6 +46,7 @@
   void handle();
   void continueIfExpected();
   void rejectMalformed();
+  void rejectForMemory();
   void respond(CallerAnswer answer);
   void write(std::string bytes, bool close);
   void onWritten(const error_code& error, bool close);
@@ -59,6 +62,11 @@
   std::string in_;
   std::string out_;
   RequestReader reader_;
+  // Memory of the bytes received, and of the answer being written.
+  BufferReservation requestMemory_;
+  BufferReservation answerMemory_;
+  // Time until which the first request of this connection is expected.
+  base::TimePoint firstRequestExpectedUntil_{};
   std::shared_ptr<RequestHandler> requestHandler_;
   base::TimePoint requestBeganAt_;
   State state_ = State::Reading;
--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <entry/ByteCounts.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -25,6 +27,8 @@
   bool watchesStore = false;
   bool storeReachable = false;
   StoreCalls calls;
+  // Bytes that the control thread has exchanged with other VMs and with servers.
+  ByteCounts bytes;
   std::uint64_t ownershipRevision = 0;
   // Key ranges that this VM manages as coordinator, and those of them that no server holds.
   std::size_t ranges = 0;
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/ByteCounts.h>
 #include <entry/CallClient.h>
 #include <entry/EventLog.h>
 #include <entry/StoreClient.h>
@@ -28,6 +29,8 @@
   CoordinatorRole(CallClient& calls,
                   StoreClient& store,
                   EventLog& log,
+                  ByteCounts& bytes,
+                  const base::DomainId& domain,
                   dispatch::CoordinatorSettings settings,
                   dispatch::Coordinator self,
                   RecordConfirmedListener recordConfirmedListener,
@@ -70,6 +73,8 @@
   CallClient& calls_;
   StoreClient& store_;
   EventLog& log_;
+  ByteCounts& bytes_;
+  base::DomainId domain_;
   dispatch::CoordinatorSettings settings_;
   dispatch::Coordinator self_;
   RecordConfirmedListener recordConfirmedListener_;
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/ByteCounts.h>
 #include <entry/EventLog.h>
 #include <entry/HttpText.h>
 #include <entry/ServerPool.h>
@@ -41,6 +42,7 @@
   std::uint64_t refusedNoRoom = 0;
   std::uint64_t refusedByServer = 0;
   std::uint64_t refusedUnreachable = 0;
+  std::uint64_t refusedNoMemory = 0;
   std::uint64_t failedUnknown = 0;
   std::uint64_t failedTimeout = 0;
   std::uint64_t callerLeft = 0;
@@ -81,6 +83,12 @@
   TrafficReport takeReport();
   const DispatchCounts& counts() const { return counts_; }
   const TrafficMetrics& metrics() const { return metrics_; }
+  const ByteCounts& bytes() const { return bytes_; }
+  // Return the quotas of the memory for requests that callers send and for servers' answers.
+  const BufferQuota& requestMemory() const { return requestMemory_; }
+  const BufferQuota& answerMemory() const { return answerMemory_; }
+  // Counts a request that was refused because requests take too much memory.
+  void onRequestMemoryExhausted() { ++counts_.refusedNoMemory; }
 
 private:
   friend class RequestHandler;
@@ -132,6 +140,9 @@
   TrafficReport report_;
   DispatchCounts counts_;
   TrafficMetrics metrics_;
+  ByteCounts bytes_;
+  BufferQuota requestMemory_;
+  BufferQuota answerMemory_;
   std::mt19937_64 random_;
 };
 
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/ByteCounts.h>
 #include <entry/ControlStatus.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
@@ -10,6 +11,7 @@
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
 #include <dispatch/OwnershipCopy.h>
+#include <dispatch/PeerTable.h>
 #include <dispatch/RoutingView.h>
 
 #include <array>
@@ -52,23 +54,16 @@
   ControlStatus status() const;
 
 private:
-  struct Peer
-  {
-    std::string address;
-    double capacity = 1;
-    std::uint64_t run = 0;
-    base::TimePoint lastHeardAt;
-  };
-
   void registerSelf(std::uint64_t revision);
   void onRegistered(const StoreAnswer& answer);
-  std::string registration() const;
+  dispatch::EntryVmRecord ownRecord() const;
   // Reads the page of registered entry VMs that starts after this name, and the pages that follow.
   void listPeers(const std::string& after = "");
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
   void onDomainsOut(const ObjectMirror::Objects& objects);
-  std::vector<std::string> peerAddresses() const;
+  // Sends a message to all other entry VMs.
+  void sendToAll(const PeerMessage& message);
   void relay(const ObjectChange& change);
   void onObjectChange(const ObjectChange& change);
   void readOwnership();
@@ -80,10 +75,10 @@
                          const dispatch::OwnershipDelta& delta);
   void onPeerMessage(const PeerMessage& message, const std::string& from);
   void onHeartbeat(const HeartbeatMessage& message, const std::string& from);
+  void onForward(const ForwardMessage& message);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
   void sendHeartbeats(base::TimePoint now);
-  std::vector<dispatch::Candidate> successors(base::TimePoint now) const;
   bool isHandingOver() const;
   void beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
                                  base::TimePoint now);
@@ -93,13 +88,13 @@
                             const std::map<base::ServerId, dispatch::WorkSample>& work);
   void publish();
   void setEntryVms(std::size_t count);
-  std::size_t vmsSharingLimits(base::TimePoint now) const;
 
   dispatch::EntrySettings settings_;
   EventLog& log_;
   Publish publish_;
   RemoteBreakListener remoteBreakListener_;
   dispatch::Coordinator self_;
+  ByteCounts bytes_;
   CallClient calls_;
   StoreClient store_;
   PeerLink peerLink_;
@@ -116,7 +111,7 @@
   dispatch::RoutingView view_;
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
-  std::map<base::VmId, Peer> peerTable_;
+  dispatch::PeerTable peerTable_;
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
   std::vector<ConnectionBreak> pendingConnectionBreaks_;
--- a/libs/entry/include/entry/HttpText.h
+++ b/libs/entry/include/entry/HttpText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/BufferQuota.h>
 #include <entry/MessageReader.h>
 
 #include <base/Ids.h>
@@ -19,6 +20,8 @@
   // Header lines, each with its line end, without those that frame the message.
   std::string headers;
   std::string body;
+  // Memory that the server's answer takes until the caller has received it.
+  BufferReservation memory;
 };
 
 // Returns an answer that the router itself gives. `retryAfter` is the delay after which the caller
--- a/libs/entry/include/entry/Listener.h
+++ b/libs/entry/include/entry/Listener.h
@@ -26,6 +26,7 @@
 
 private:
   void accept();
+  void acceptWaiting();
 
   tcp::acceptor acceptor_;
   asio::steady_timer retryTimer_;
--- a/libs/entry/include/entry/MessageReader.h
+++ b/libs/entry/include/entry/MessageReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <entry/Asio.h>
+#include <entry/ReceivedBody.h>
 
 #include <cstdint>
 #include <optional>
@@ -22,12 +22,13 @@
 class MessageReader
 {
 public:
-  using Message = http::message<isRequest, http::string_body>;
+  using Message = http::message<isRequest, ReceivedBody>;
 
   // Prepares for the next message. `skipBody` is for answers without a body, such as those to HEAD.
   void start(std::uint32_t headerLimit, std::uint64_t bodyLimit, bool skipBody = false)
   {
     parser_.emplace();
+    headerLimit_ = headerLimit;
     parser_->header_limit(headerLimit);
     parser_->body_limit(bodyLimit);
     parser_->eager(true);
@@ -37,7 +38,8 @@
     error_ = {};
   }
 
-  // Parses the bytes of the message and removes them from the buffer.
+  // Parses the bytes of the message and removes them from the buffer. Fails if more bytes than the
+  // header limit can't be parsed yet, such as those of an endless line between two chunks.
   ReadState feed(std::string& buffer)
   {
     while (!parser_->is_done() && !buffer.empty()) {
@@ -45,6 +47,10 @@
       buffer.erase(0, taken);
       if (error_ == http::error::need_more) {
         error_ = {};
+        if (buffer.size() > headerLimit_) {
+          error_ = http::error::header_limit;
+          return ReadState::Failed;
+        }
         return ReadState::NeedMore;
       }
       if (error_) {
@@ -72,8 +78,9 @@
   const error_code& error() const { return error_; }
 
 private:
-  std::optional<http::parser<isRequest, http::string_body>> parser_;
+  std::optional<http::parser<isRequest, ReceivedBody>> parser_;
   error_code error_;
+  std::size_t headerLimit_ = 0;
 };
 
 using RequestReader = MessageReader<true>;
--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -4,6 +4,7 @@
 #include <entry/ObjectChange.h>
 #include <entry/StoreClient.h>
 
+#include <dispatch/DeletedObjects.h>
 #include <dispatch/RelayedCopy.h>
 #include <dispatch/WatchCursor.h>
 #include <wire/WireError.h>
@@ -87,6 +88,7 @@
   asio::steady_timer timer_;
   std::mt19937_64 random_;
   Objects objects_;
+  dispatch::DeletedObjects deletedObjects_;
   // Objects of the pages that the current list has read so far.
   Objects listedObjects_;
   dispatch::WatchCursor cursor_;
--- a/libs/entry/include/entry/PeerLink.h
+++ b/libs/entry/include/entry/PeerLink.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <entry/Asio.h>
+#include <entry/ByteCounts.h>
 #include <entry/PeerMessage.h>
 
 #include <dispatch/EntrySettings.h>
+#include <dispatch/FanoutPlan.h>
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -14,6 +16,14 @@
 
 namespace sycamore::entry {
 
+// Address of another entry VM.
+struct PeerAddress
+{
+  std::string ip;
+  // Whether the VM is in the failure domain of this VM.
+  bool isSameDomain = false;
+};
+
 // Sends and receives datagrams between entry VMs. Any datagram may be lost, so that messages which
 // must arrive are sent repeatedly. Control thread only.
 class PeerLink
@@ -21,20 +31,27 @@
 public:
   using Received = std::function<void(PeerMessage, const std::string& from)>;
 
-  PeerLink(asio::io_context& context, const dispatch::Endpoint& own, Received received);
+  // `bytes` counts the sent datagrams and has to outlive this object.
+  PeerLink(asio::io_context& context,
+           const dispatch::Endpoint& own,
+           ByteCounts& bytes,
+           Received received);
 
   // Sends to another entry VM, at the same port as this VM's.
-  void send(const std::string& ip, const PeerMessage& message);
-  // Sends the same message to several entry VMs.
-  void send(const std::vector<std::string>& ips, const PeerMessage& message);
+  void send(const PeerAddress& to, const PeerMessage& message);
+  // Sends a message to all VMs of a plan, to some of them by way of VMs that forward it.
+  void send(const dispatch::FanoutPlan& plan, const PeerMessage& message);
+  // Passes the enclosed message on to its receivers, which are in this VM's domain.
+  void forward(const ForwardMessage& message);
 
 private:
-  void sendBytes(const std::string& ip, const std::string& bytes);
+  void sendBytes(const PeerAddress& to, const char* kind, const std::string& bytes);
   void receive();
 
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint from_;
   std::uint16_t port_;
+  ByteCounts& bytes_;
   std::array<char, 65536> buffer_{};
   Received received_;
 };
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -45,6 +45,7 @@
 struct ReportMessage
 {
   base::VmId vm;
+  base::DomainId domain;
   std::uint64_t run = 0;
   // Processor cores that its process may use.
   double capacity = 1;
@@ -77,15 +78,29 @@
   ObjectChange change;
 };
 
+// Message from the coordinator to a VM of another failure domain, which passes the enclosed message
+// on to the given VMs as it is.
+struct ForwardMessage
+{
+  // IP addresses of the receivers. The VM that forwards may be one of them.
+  std::vector<std::string> receivers;
+  // The encoded message.
+  std::string message;
+};
+
 using PeerMessage = std::variant<HeartbeatMessage,
                                  ReportMessage,
                                  CoordinatorStoppedMessage,
                                  OwnershipDeltaMessage,
-                                 ObjectChangeMessage>;
+                                 ObjectChangeMessage,
+                                 ForwardMessage>;
 
 // Convert a message to the bytes of a datagram and back. Decoding returns nothing if the bytes
 // aren't a message.
 std::string encodePeerMessage(const PeerMessage& message);
 std::optional<PeerMessage> decodePeerMessage(const std::string& bytes);
 
+// Returns the name of the message's kind, for metrics.
+const char* kindNameOf(const PeerMessage& message);
+
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/RequestHandler.h
+++ b/libs/entry/include/entry/RequestHandler.h
@@ -32,7 +32,7 @@
   void send();
   void sendTo(const std::shared_ptr<ServerPool>& pool, base::TimePoint now);
   void onResult(ExchangeResult result);
-  void onAnswered(ServerAnswer answer);
+  void onAnswered(ExchangeResult result);
   void onNotRun(const ServerAnswer& answer);
   void onNotSent();
   void onOutcomeUnknown(const char* reason);
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <entry/Asio.h>
+#include <entry/BufferQuota.h>
 #include <entry/MessageReader.h>
 
 #include <base/Time.h>
@@ -21,8 +22,10 @@
   NotSent,
   // The connection broke after the request was sent.
   Broken,
-  // The received bytes can't be parsed as an answer.
-  Malformed
+  // The received bytes can't be parsed as an answer, or can't be attributed to the request.
+  Malformed,
+  // The server sent more than one answer may have, or more than there is memory for.
+  TooLarge
 };
 
 struct ExchangeResult
@@ -31,17 +34,25 @@
   ServerAnswer answer;
   // Whether the connection can carry another request.
   bool reusable = false;
+  // Bytes of the request and of all that was received.
+  std::size_t bytes = 0;
+  // Memory that the answer takes.
+  BufferReservation memory;
 };
 
-// A connection to a backend server or to the store. It carries one request at a time, skips answers
-// to other requests, and closes when bytes arrive while no request is in progress. Used by one
-// thread only.
+// A connection to a backend server or to the store. It carries one request at a time, skips a few
+// answers to other requests, and closes when bytes arrive while no request is in progress. An
+// answer without a request id is accepted only if no other request has been sent on the connection.
+// Used by one thread only.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
   using Finished = std::function<void(ExchangeResult)>;
 
-  ServerConnection(asio::io_context& context, const dispatch::Endpoint& server);
+  // `quota` bounds the received bytes of all connections that share it.
+  ServerConnection(asio::io_context& context,
+                   const dispatch::Endpoint& server,
+                   const BufferQuota& quota);
 
   // Sends a request and reads its answer; connects first if necessary, until `connectDeadline`.
   // Answers that carry another request's id are skipped.
@@ -87,6 +98,12 @@
   std::string out_;
   std::string in_;
   std::array<char, 8192> chunk_{};
+  // Bytes that the current exchange has sent or received.
+  std::size_t exchangedBytes_ = 0;
+  BufferQuota quota_;
+  BufferReservation memory_;
+  unsigned exchanges_ = 0;
+  unsigned skippedAnswers_ = 0;
   AnswerReader reader_;
   std::string requestId_;
   Finished finished_;
--- a/libs/entry/include/entry/ServerPool.h
+++ b/libs/entry/include/entry/ServerPool.h
@@ -17,8 +17,12 @@
 class ServerPool
 {
 public:
-  // `phase` in [0, 1) differs between entry VMs, so that they don't act at the same time.
-  ServerPool(asio::io_context& context, const dispatch::BackendServer& server, double phase);
+  // `quota` bounds the memory for answers. `phase` in [0, 1) differs between entry VMs, so that
+  // they don't act at the same time.
+  ServerPool(asio::io_context& context,
+             const dispatch::BackendServer& server,
+             const BufferQuota& quota,
+             double phase);
 
   const dispatch::BackendServer& server() const { return server_; }
   void update(const dispatch::BackendServer& server) { server_ = server; }
@@ -40,6 +44,7 @@
 private:
   asio::io_context& context_;
   dispatch::BackendServer server_;
+  BufferQuota quota_;
   dispatch::ServerLoad load_;
   dispatch::ColdStartShare coldStart_;
   dispatch::TrialSchedule trialSchedule_;
--- a/libs/entry/include/entry/StoreClient.h
+++ b/libs/entry/include/entry/StoreClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/ByteCounts.h>
 #include <entry/CallClient.h>
 #include <entry/ControlStatus.h>
 
@@ -39,7 +40,7 @@
 public:
   using Finished = std::function<void(StoreAnswer)>;
 
-  StoreClient(CallClient& calls, const dispatch::Endpoint& store);
+  StoreClient(CallClient& calls, const dispatch::Endpoint& store, ByteCounts& bytes);
 
   void setEndpoint(const dispatch::Endpoint& store) { store_ = store; }
 
@@ -77,6 +78,7 @@
 
   CallClient& calls_;
   dispatch::Endpoint store_;
+  ByteCounts& bytes_;
   bool reachable_ = false;
   StoreCalls counts_;
   base::TimePoint nextProbeAt_{};
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -16,8 +16,9 @@
   Finished finished;
 };
 
-CallClient::CallClient(asio::io_context& context)
+CallClient::CallClient(asio::io_context& context, const BufferQuota& quota)
   : context_(context)
+  , quota_(quota)
 {
 }
 
@@ -27,7 +28,7 @@
   auto pending = std::make_shared<Pending>(context_);
   pending->connection = idleConnectionsOf(call.endpoint).take(now);
   if (!pending->connection) {
-    pending->connection = std::make_shared<ServerConnection>(context_, call.endpoint);
+    pending->connection = std::make_shared<ServerConnection>(context_, call.endpoint, quota_);
   }
   pending->finished = std::move(finished);
   std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.endpoint.ip +
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t kMaxReadAhead = 256 * 1024;
 // Time allowed for the caller to close its side after the router has shut down its own.
 constexpr base::Duration kCloseTimeout = std::chrono::seconds(1);
+// Time after a connection was accepted within which its first request is expected. A caller sends
+// it right after connecting; during a drain the connection isn't closed before.
+constexpr base::Duration kFirstRequestTimeout = base::milliseconds(500);
+// Retry delay for requests that are refused for lack of memory.
+constexpr base::Duration kNoMemoryRetryDelay = base::milliseconds(200);
 // Time allowed for a caller to receive its answer.
 constexpr base::Duration kWriteTimeout = std::chrono::seconds(30);
 
@@ -30,6 +35,8 @@
 {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  requestMemory_ = server_.dispatcher_.requestMemory().reserve();
+  firstRequestExpectedUntil_ = clockNow() + kFirstRequestTimeout;
   beginRequest();
   armTimer();
   read();
@@ -37,14 +44,22 @@
 
 bool CallerConnection::hasActiveRequest() const
 {
-  const bool hasBegun = state_ == State::Reading && (reader_.begun() || !in_.empty());
-  return hasBegun || state_ == State::Handling || state_ == State::Writing;
+  if (state_ != State::Reading) {
+    return state_ != State::Closing;
+  }
+  // Bytes may have arrived that haven't been read yet.
+  error_code ignored;
+  return reader_.begun() || !in_.empty() || clockNow() < firstRequestExpectedUntil_ ||
+         socket_.available(ignored) > 0;
 }
 
 void CallerConnection::closeIdle()
 {
   if (!hasActiveRequest()) {
     close();
+  } else if (state_ == State::Reading && !reader_.begun() && in_.empty()) {
+    deadline_ = std::min(deadline_, clockNow() + kFirstRequestTimeout);
+    armTimer();
   }
 }
 
@@ -84,10 +99,15 @@
     read();
     return;
   }
+  if (!requestMemory_.tryAdd(count)) {
+    rejectForMemory();
+    return;
+  }
   const bool isFirstByte = state_ == State::Reading && !reader_.begun() && in_.empty();
   in_.append(chunk_.data(), count);
   if (isFirstByte) {
     requestBeganAt_ = clockNow();
+    firstRequestExpectedUntil_ = {};
     deadline_ = requestBeganAt_ + server_.dispatcher_.callerLimits().headerTimeout;
     armTimer();
   }
@@ -164,6 +184,21 @@
   respond(makeAnswer(status, "", reader_.error().message()));
 }
 
+// Refuses the request that is being received, before any part of it is sent on. A request that is
+// already being handled needs no more bytes: those behind it are dropped and the connection ends
+// with its answer.
+void CallerConnection::rejectForMemory()
+{
+  server_.dispatcher_.onRequestMemoryExhausted();
+  keepAlive_ = false;
+  if (state_ != State::Reading) {
+    return;
+  }
+  headOnly_ = false;
+  state_ = State::Handling;
+  respond(makeAnswer(503, "", "too many requests are in progress here", kNoMemoryRetryDelay));
+}
+
 void CallerConnection::respond(CallerAnswer answer)
 {
   requestHandler_.reset();
@@ -171,6 +206,7 @@
     return;
   }
   const bool close = !keepAlive_ || server_.draining_;
+  answerMemory_ = std::move(answer.memory);
   write(writeAnswer(answer, close, headOnly_), close);
 }
 
@@ -192,6 +228,10 @@
   if (closed_) {
     return;
   }
+  out_.clear();
+  out_.shrink_to_fit();
+  answerMemory_.clear();
+  requestMemory_.clear();
   if (error) {
     this->close();
     return;
@@ -211,6 +251,7 @@
   beginRequest();
   armTimer();
   if (!in_.empty()) {
+    requestMemory_.tryAdd(in_.size());
     process();
   }
   if (server_.listener_.stopped() && !hasActiveRequest()) {
@@ -274,6 +315,8 @@
   }
   closed_ = true;
   timer_.cancel();
+  requestMemory_.clear();
+  answerMemory_.clear();
   if (requestHandler_) {
     requestHandler_->cancel();
     requestHandler_.reset();
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -26,6 +26,8 @@
 CoordinatorRole::CoordinatorRole(CallClient& calls,
                                  StoreClient& store,
                                  EventLog& log,
+                                 ByteCounts& bytes,
+                                 const base::DomainId& domain,
                                  dispatch::CoordinatorSettings settings,
                                  dispatch::Coordinator self,
                                  RecordConfirmedListener recordConfirmedListener,
@@ -33,6 +35,8 @@
   : calls_(calls)
   , store_(store)
   , log_(log)
+  , bytes_(bytes)
+  , domain_(domain)
   , settings_(settings)
   , self_(std::move(self))
   , recordConfirmedListener_(std::move(recordConfirmedListener))
@@ -282,6 +286,7 @@
                }
              } };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
+    bytes_.add("grant", order.server.domain == domain_, result.bytes);
     if (term != term_) {
       return;
     }
@@ -316,6 +321,7 @@
              kReleaseTimeout,
              nullptr };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
+    bytes_.add("release", order.server.domain == domain_, result.bytes);
     if (term != term_) {
       return;
     }
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -24,6 +24,10 @@
 // Retry delays of refusals other than those for lack of room.
 constexpr base::Duration kNoOwnerRetryDelay = base::milliseconds(150);
 constexpr base::Duration kColdStartRetryDelay = base::milliseconds(200);
+// Fractions of the process's memory that requests and answers may take as received. Each is copied
+// once when it is passed on.
+constexpr std::uint64_t kRequestMemoryShare = 8;
+constexpr std::uint64_t kAnswerMemoryShare = 8;
 
 } // namespace
 
@@ -35,6 +39,8 @@
   , settings_(settings)
   , log_(log)
   , view_(std::make_shared<dispatch::RoutingView>())
+  , requestMemory_(settings.memoryBytes / kRequestMemoryShare)
+  , answerMemory_(settings.memoryBytes / kAnswerMemoryShare)
   , random_(seed)
 {
 }
@@ -64,7 +70,7 @@
   for (const auto& [id, server] : *view_->servers) {
     auto& pool = pools_[id];
     if (!pool) {
-      pool = std::make_shared<ServerPool>(context_, server, random());
+      pool = std::make_shared<ServerPool>(context_, server, answerMemory_, random());
     }
     pool->update(server);
     poolsByService_[server.service].push_back(pool);
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -21,13 +21,10 @@
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
 constexpr base::Duration kReportInterval = base::milliseconds(500);
-// Time without a report after which an entry VM is no candidate to succeed the coordinator.
-constexpr base::Duration kPeerTimeout = std::chrono::seconds(4);
-// Time without a report after which an entry VM is assumed not to use its share of the deployment's
-// limits any more. It is longer than kPeerTimeout because a VM that is only cut off from the others
-// continues to serve.
-constexpr base::Duration kLimitShareTimeout = std::chrono::seconds(60);
 constexpr std::chrono::milliseconds kRegisterRetryDelay{ 1000 };
+// The answers of the store and of servers to the control thread may take this fraction of the
+// process's memory.
+constexpr std::uint64_t kControlMemoryShare = 4;
 // Time allowed for the reports of all VMs to arrive before a handover is considered.
 constexpr base::Duration kHandoverDelay = base::milliseconds(1000);
 // Maximum number of broken connections reported in one message.
@@ -53,16 +50,19 @@
   , publish_(std::move(publish))
   , remoteBreakListener_(std::move(remoteBreakListener))
   , self_{ settings.vm, run, settings.ip }
-  , calls_(context)
-  , store_(calls_, settings.store)
+  , calls_(context, BufferQuota(settings.memoryBytes / kControlMemoryShare))
+  , store_(calls_, settings.store, bytes_)
   , peerLink_(
       context,
       { settings.ip, settings.peerPort },
+      bytes_,
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
   , coordinatorRole_(
       calls_,
       store_,
       log,
+      bytes_,
+      settings.domain,
       coordinatorSettings(settings),
       self_,
       [this](const dispatch::OwnershipRecord& record, const dispatch::OwnershipDelta& delta) {
@@ -97,6 +97,7 @@
   , ownership_({}, clockNow())
   , tickTimer_(context)
   , registerTimer_(context)
+  , peerTable_({})
 {
 }
 
@@ -158,13 +159,13 @@
   store_.write(wire::Kind::EntryVms,
                settings_.vm.value(),
                revision,
-               registration(),
+               dispatch::writeEntryVmRecord(ownRecord()),
                [this](const StoreAnswer& answer) { onRegistered(answer); });
 }
 
-std::string EntryControl::registration() const
+dispatch::EntryVmRecord EntryControl::ownRecord() const
 {
-  return dispatch::writeEntryVmRecord({ settings_.ip, settings_.capacity });
+  return { settings_.ip, settings_.domain, settings_.capacity };
 }
 
 void EntryControl::onRegistered(const StoreAnswer& answer)
@@ -176,7 +177,7 @@
   if (answer.outcome == StoreOutcome::Conflict) {
     try {
       const wire::StoreObject object = wire::readObject(answer.body);
-      if (wire::ownContent(object) == registration()) {
+      if (wire::ownContent(object) == dispatch::writeEntryVmRecord(ownRecord())) {
         listPeers();
       } else {
         registerSelf(object.revision);
@@ -206,12 +207,12 @@
       const wire::ListPage page = wire::readList(answer.body);
       for (const wire::StoreObject& object : page.items) {
         const base::VmId vm(object.name);
-        if (vm != settings_.vm && !peerTable_.contains(vm)) {
-          const auto record = dispatch::readEntryVmRecord(wire::ownContent(object));
-          peerTable_[vm] = { record.address, record.capacity, 0, clockNow() };
+        if (vm != settings_.vm) {
+          peerTable_.onRegistered(
+            vm, dispatch::readEntryVmRecord(wire::ownContent(object)), clockNow());
         }
       }
-      setEntryVms(std::max(view_.entryVms, vmsSharingLimits(clockNow())));
+      setEntryVms(std::max(view_.entryVms, peerTable_.vmsSharingLimits(clockNow())));
       if (page.hasMore && !page.items.empty()) {
         listPeers(page.items.back().name);
       }
@@ -314,19 +315,15 @@
   if (!coordinatorRole_.active()) {
     return;
   }
-  const std::vector<std::string> addresses = peerAddresses();
   for (const ObjectChange& part : splitChange(change)) {
-    peerLink_.send(addresses, ObjectChangeMessage{ part });
+    sendToAll(ObjectChangeMessage{ part });
   }
 }
 
-std::vector<std::string> EntryControl::peerAddresses() const
+void EntryControl::sendToAll(const PeerMessage& message)
 {
-  std::vector<std::string> addresses;
-  for (const auto& [vm, peer] : peerTable_) {
-    addresses.push_back(peer.address);
-  }
-  return addresses;
+  peerLink_.send(dispatch::planFanout(peerTable_.receivers(), settings_.domain, {}, clockNow()),
+                 message);
 }
 
 // Reads the ownership record. If it is known to have changed, a possibly outdated replica of the
@@ -350,7 +347,13 @@
   if (answer.outcome == StoreOutcome::Done) {
     try {
       const wire::StoreObject object = wire::readObject(answer.body);
-      adoptRecord(dispatch::readOwnershipRecord(wire::ownContent(object)), object.revision);
+      // A replica may return a record that is older than the announced one. Without a copy, as
+      // after a start, such a record would bring back owners that have lost their keys since.
+      const bool isOutdated = reading == wire::ReadConsistency::StaleAllowed &&
+                              object.revision < ownership_.announcedRevision();
+      if (!isOutdated) {
+        adoptRecord(dispatch::readOwnershipRecord(wire::ownContent(object)), object.revision);
+      }
     } catch (const base::Error& error) {
       log_.write("ownership_unreadable", { { "error", error.what() } });
     }
@@ -384,7 +387,7 @@
                                      const dispatch::OwnershipDelta& delta)
 {
   adoptRecord(record, delta.revision);
-  peerLink_.send(peerAddresses(), OwnershipDeltaMessage{ delta });
+  sendToAll(OwnershipDeltaMessage{ delta });
 }
 
 void EntryControl::onPeerMessage(const PeerMessage& message, const std::string& from)
@@ -399,6 +402,8 @@
     }
   } else if (const auto* relayed = std::get_if<ObjectChangeMessage>(&message)) {
     onObjectChange(relayed->change);
+  } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
+    onForward(*forward);
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
     // Only the direct predecessor knows when all coordinators before it stop granting.
     if (coordinatorRole_.active() &&
@@ -427,7 +432,9 @@
     const CoordinatorStoppedMessage stopped{
       own, std::max(base::Duration::zero(), previousCoordinatorsStopAt - now)
     };
-    peerLink_.send(from, stopped);
+    const bool isSameDomain =
+      peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain);
+    peerLink_.send({ from, isSameDomain }, stopped);
   }
   lastHeartbeatAt_ = clockNow();
   election_.onHeartbeat(message.heartbeat, lastHeartbeatAt_);
@@ -453,17 +460,26 @@
   }
 }
 
+// Passes a change on to the other VMs of this domain, and applies it if this VM is among the
+// receivers, without a datagram to itself.
+void EntryControl::onForward(const ForwardMessage& message)
+{
+  ForwardMessage others{ message.receivers, message.message };
+  const bool isReceiver = std::erase(others.receivers, settings_.ip) > 0;
+  peerLink_.forward(others);
+  const auto enclosed = isReceiver ? decodePeerMessage(message.message) : std::nullopt;
+  if (enclosed && !std::holds_alternative<ForwardMessage>(*enclosed)) {
+    onPeerMessage(*enclosed, "");
+  }
+}
+
 void EntryControl::onReport(const ReportMessage& message, const std::string& from)
 {
   if (!coordinatorRole_.active()) {
     return;
   }
   const base::TimePoint now = clockNow();
-  Peer& peer = peerTable_[message.vm];
-  peer.address = from;
-  peer.capacity = message.capacity;
-  peer.run = message.run;
-  peer.lastHeardAt = message.leaving ? base::TimePoint{} : now;
+  peerTable_.onReport(message.vm, { from, message.domain, message.capacity }, message.leaving, now);
   recordForCoordinator(message.keys, message.work);
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
@@ -511,13 +527,13 @@
     listPeers();
   }
   HeartbeatMessage message;
-  const std::vector<dispatch::Candidate> order = successors(now);
+  const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
   beginHandoverIfWorthwhile(order, now);
   message.heartbeat = { self_,
                         coordinatorRole_.coordinator()->record().epoch,
                         coordinatorRole_.storeReachable(),
                         leaving_ || isHandingOver() };
-  message.entryVms = static_cast<unsigned>(vmsSharingLimits(now));
+  message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
   message.connectionBreaks = std::move(pendingConnectionBreaks_);
   pendingConnectionBreaks_.clear();
@@ -532,26 +548,13 @@
   for (const dispatch::Candidate& candidate : order) {
     ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
   }
-  for (const auto& [vm, peer] : peerTable_) {
+  for (const auto& [vm, peer] : peerTable_.peers()) {
     const auto rank = ranks.find(vm);
     message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
-    peerLink_.send(peer.address, message);
+    peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
   }
 }
 
-// Returns the entry VMs that could become the coordinator, in the order of succession.
-std::vector<dispatch::Candidate> EntryControl::successors(base::TimePoint now) const
-{
-  std::vector<dispatch::Candidate> order;
-  for (const auto& [vm, peer] : peerTable_) {
-    if (now < peer.lastHeardAt + kPeerTimeout) {
-      order.push_back({ vm, peer.capacity });
-    }
-  }
-  dispatch::sortBySuccession(order);
-  return order;
-}
-
 bool EntryControl::isHandingOver() const
 {
   return handoverEpoch_ != 0 && coordinatorRole_.coordinator()->record().epoch == handoverEpoch_;
@@ -580,6 +583,7 @@
   }
   ReportMessage message;
   message.vm = self_.vm;
+  message.domain = settings_.domain;
   message.run = self_.run;
   message.capacity = settings_.capacity;
   message.keys = std::move(pendingReport_.keys);
@@ -588,7 +592,9 @@
   message.leaving = leaving_;
   pendingReport_ = {};
   pendingConnectionBreaks_.clear();
-  peerLink_.send(view_.ownership->coordinator.address, message);
+  const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
+  peerLink_.send({ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) },
+                 message);
 }
 
 ControlStatus EntryControl::status() const
@@ -598,6 +604,7 @@
   status.watchesStore = std::ranges::all_of(mirrors_, &ObjectMirror::isWatching);
   status.storeReachable = store_.reachable();
   status.calls = store_.calls();
+  status.bytes = bytes_;
   status.ownershipRevision = ownership_.revision();
   status.entryVms = view_.entryVms;
   if (coordinatorRole_.active()) {
@@ -632,13 +639,4 @@
   }
 }
 
-// Returns the number of entry VMs that may be sending requests to servers, including this one.
-std::size_t EntryControl::vmsSharingLimits(base::TimePoint now) const
-{
-  const auto peers = std::count_if(peerTable_.begin(), peerTable_.end(), [now](const auto& entry) {
-    return now < entry.second.lastHeardAt + kLimitShareTimeout;
-  });
-  return static_cast<std::size_t>(peers) + 1;
-}
-
 } // namespace sycamore::entry
--- a/libs/entry/src/Listener.cpp
+++ b/libs/entry/src/Listener.cpp
@@ -28,10 +28,25 @@
 void Listener::stop()
 {
   stopped_ = true;
+  acceptWaiting();
   error_code ignored;
   acceptor_.close(ignored);
 }
 
+// Closing the listener resets the connections that wait to be accepted, though their callers may
+// have sent requests already.
+void Listener::acceptWaiting()
+{
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = acceptor_.accept(error);
+    if (!error) {
+      accepted_(std::move(socket));
+    }
+  }
+}
+
 void Listener::accept()
 {
   acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
--- a/libs/entry/src/ObjectChange.cpp
+++ b/libs/entry/src/ObjectChange.cpp
@@ -5,8 +5,8 @@
 namespace {
 
 // Maximum size of the objects in one part: less than the payload of an Ethernet frame, to leave
-// room for names and numbers.
-constexpr std::size_t kMaxPartBytes = 1200;
+// room for names, numbers and the addresses of a ForwardMessage.
+constexpr std::size_t kMaxPartBytes = 1000;
 // Larger objects aren't sent: a fragmented datagram is lost with any of its fragments.
 constexpr std::size_t kMaxObjectBytes = 4000;
 
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -173,6 +173,7 @@
   }
   objects_ = std::move(listedObjects_);
   relayedCopy_.onRead(listRevision_);
+  deletedObjects_.onListed(listRevision_);
   if (!events.empty() || lastChangeRevision_ == 0) {
     publishChange(std::move(events), listRevision_);
   }
@@ -272,8 +273,14 @@
     return false;
   }
   if (event.deleted) {
+    deletedObjects_.onDeleted(
+      event.object.name,
+      std::max(event.object.revision, known ? found->second.revision : event.object.revision));
     return objects_.erase(event.object.name) > 0;
   }
+  if (!known && deletedObjects_.isOutdated(event.object.name, event.object.revision)) {
+    return false;
+  }
   if (known && event.object.revision == found->second.revision) {
     return false;
   }
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -2,36 +2,59 @@
 
 namespace sycamore::entry {
 
-PeerLink::PeerLink(asio::io_context& context, const dispatch::Endpoint& own, Received received)
+PeerLink::PeerLink(asio::io_context& context,
+                   const dispatch::Endpoint& own,
+                   ByteCounts& bytes,
+                   Received received)
   : socket_(context, { asio::ip::make_address(own.ip), own.port })
   , port_(own.port)
+  , bytes_(bytes)
   , received_(std::move(received))
 {
   socket_.non_blocking(true);
   receive();
 }
 
-void PeerLink::send(const std::string& ip, const PeerMessage& message)
+void PeerLink::send(const PeerAddress& to, const PeerMessage& message)
 {
-  sendBytes(ip, encodePeerMessage(message));
+  sendBytes(to, kindNameOf(message), encodePeerMessage(message));
 }
 
-void PeerLink::send(const std::vector<std::string>& ips, const PeerMessage& message)
+void PeerLink::send(const dispatch::FanoutPlan& plan, const PeerMessage& message)
 {
+  const char* const kind = kindNameOf(message);
   const std::string bytes = encodePeerMessage(message);
-  for (const std::string& ip : ips) {
-    sendBytes(ip, bytes);
+  for (const std::string& ip : plan.sameDomain) {
+    sendBytes({ ip, true }, kind, bytes);
+  }
+  for (const std::string& ip : plan.otherDomains) {
+    sendBytes({ ip, false }, kind, bytes);
+  }
+  for (const dispatch::DomainFanout& fanout : plan.forwarded) {
+    const std::string enclosing = encodePeerMessage(ForwardMessage{ fanout.receivers, bytes });
+    for (const std::string& ip : fanout.forwarders) {
+      sendBytes({ ip, false }, kind, enclosing);
+    }
+  }
+}
+
+void PeerLink::forward(const ForwardMessage& message)
+{
+  for (const std::string& ip : message.receivers) {
+    sendBytes({ ip, true }, "forward", message.message);
   }
 }
 
-void PeerLink::sendBytes(const std::string& ip, const std::string& bytes)
+void PeerLink::sendBytes(const PeerAddress& to, const char* kind, const std::string& bytes)
 {
   error_code error;
-  const auto address = asio::ip::make_address(ip, error);
-  if (!error) {
-    // A datagram that can't be sent is treated as lost.
-    socket_.send_to(asio::buffer(bytes), { address, port_ }, 0, error);
+  const auto address = asio::ip::make_address(to.ip, error);
+  if (error) {
+    return;
   }
+  // A datagram that can't be sent is treated as lost.
+  socket_.send_to(asio::buffer(bytes), { address, port_ }, 0, error);
+  bytes_.add(kind, to.isSameDomain, bytes.size());
 }
 
 void PeerLink::receive()
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -1,9 +1,13 @@
 #include <entry/PeerMessage.h>
 
+#include <entry/Asio.h>
+
 #include <dispatch/RangeJson.h>
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace sycamore::entry {
 
 namespace {
@@ -16,6 +20,7 @@
 constexpr int kCoordinatorStopped = 3;
 constexpr int kOwnershipDelta = 4;
 constexpr int kObjectChange = 5;
+constexpr int kForward = 6;
 
 Json writeConnectionBreaks(const std::vector<ConnectionBreak>& connectionBreaks)
 {
@@ -77,7 +82,8 @@
                        std::move(services),
                        writeConnectionBreaks(message.connectionBreaks),
                        message.leaving,
-                       std::move(work) });
+                       std::move(work),
+                       message.domain.value() });
 }
 
 Json toJson(const CoordinatorStoppedMessage& message)
@@ -123,6 +129,34 @@
                        std::move(events) });
 }
 
+// Addresses are sent as numbers, which take fewer bytes than text.
+Json toJson(const ForwardMessage& message)
+{
+  Json receivers = Json::array();
+  for (const std::string& ip : message.receivers) {
+    error_code error;
+    const auto address = asio::ip::make_address_v4(ip, error);
+    if (!error) {
+      receivers.push_back(address.to_uint());
+    }
+  }
+  const Json::binary_t bytes(
+    std::vector<std::uint8_t>(message.message.begin(), message.message.end()));
+  return Json::array({ kForward, std::move(receivers), bytes });
+}
+
+ForwardMessage readForward(const Json& json)
+{
+  ForwardMessage message;
+  for (const Json& receiver : json.at(1)) {
+    message.receivers.push_back(
+      asio::ip::make_address_v4(receiver.get<std::uint32_t>()).to_string());
+  }
+  const auto& bytes = json.at(2).get_binary();
+  message.message.assign(bytes.begin(), bytes.end());
+  return message;
+}
+
 ObjectChangeMessage readObjectChange(const Json& json)
 {
   ObjectChangeMessage message;
@@ -190,6 +224,7 @@
   }
   message.connectionBreaks = readConnectionBreaks(json.at(5));
   message.leaving = json.at(6).get<bool>();
+  message.domain = base::DomainId(json.at(8).get<std::string>());
   for (const auto& [server, sample] : json.at(7).items()) {
     message.work[base::ServerId(server)] = {
       sample.at(0).get<std::uint32_t>(), std::chrono::milliseconds(sample.at(1).get<std::int64_t>())
@@ -224,6 +259,8 @@
         return readOwnershipDelta(json);
       case kObjectChange:
         return readObjectChange(json);
+      case kForward:
+        return readForward(json);
       default:
         return std::nullopt;
     }
@@ -232,4 +269,13 @@
   }
 }
 
+const char* kindNameOf(const PeerMessage& message)
+{
+  // In the order of the variant's alternatives.
+  constexpr std::array kNames{ "heartbeat",       "report",        "coordinator_stopped",
+                               "ownership_delta", "object_change", "forward" };
+  static_assert(kNames.size() == std::variant_size_v<PeerMessage>);
+  return kNames.at(message.index());
+}
+
 } // namespace sycamore::entry
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -176,6 +176,9 @@
 void RequestHandler::onResult(ExchangeResult result)
 {
   const base::TimePoint now = clockNow();
+  const bool isSameDomain = pool_->server().domain == dispatcher_.settings_.domain;
+  const bool isKeyed = dispatcher_.isKeyed(service_);
+  dispatcher_.bytes_.add(isKeyed ? "keyed_request" : "request", isSameDomain, result.bytes);
   const auto answerMetadata = wire::readAnswerMetadata(result.answer.result_int(), result.answer);
   dispatch::ServerLoad& load = pool_->load();
   const std::string incarnation = dispatch::incarnationOf(pool_->server().id, pool_->server().born);
@@ -185,7 +188,9 @@
   } else {
     load.onRequestEnded();
   }
-  endExchange(result.reusable);
+  // A refused request may be sent to this server again. It doesn't use the same connection, where a
+  // second copy of the refusal would be taken for the answer to the repeat.
+  endExchange(result.reusable && !(answered && answerMetadata.notRun && isKeyed));
   if (answerMetadata.load && answered) {
     load.onLoadReport(*answerMetadata.load, now);
   }
@@ -195,7 +200,7 @@
       if (answerMetadata.notRun) {
         onNotRun(result.answer);
       } else {
-        onAnswered(std::move(result.answer));
+        onAnswered(std::move(result));
       }
       return;
     case ExchangeEnd::NotSent:
@@ -216,11 +221,17 @@
       mayHaveRun_ = true;
       onOutcomeUnknown("the server's answer can't be read");
       return;
+    case ExchangeEnd::TooLarge:
+      load.onFailure(now);
+      mayHaveRun_ = true;
+      onOutcomeUnknown("the server sent more than an answer may have");
+      return;
   }
 }
 
-void RequestHandler::onAnswered(ServerAnswer answer)
+void RequestHandler::onAnswered(ExchangeResult result)
 {
+  ServerAnswer& answer = result.answer;
   mayHaveRun_ = true;
   dispatcher_.suspects_.onRequestAnswered(digest_);
   const auto answerMetadata = wire::readAnswerMetadata(answer.result_int(), answer);
@@ -244,7 +255,9 @@
   }
   ++dispatcher_.counts_.passedOn;
   answeredByServer_ = true;
-  deliver(toCallerAnswer(std::move(answer)), "the server's answer");
+  CallerAnswer callerAnswer = toCallerAnswer(std::move(answer));
+  callerAnswer.memory = std::move(result.memory);
+  deliver(std::move(callerAnswer), "the server's answer");
 }
 
 // The server refused the request. Without a key, another server may have room. With a key, the
@@ -360,10 +373,11 @@
       pool_->load().onFailure(clockNow());
       pool_->closeIdle();
     }
+    // Until the connection is established, the server can't have received anything.
+    mayHaveRun_ = mayHaveRun_ || connection_->sendStarted();
     connection_->abandon();
     pool_->load().onRequestEnded();
     endExchange(false);
-    mayHaveRun_ = true;
   }
   if (mayHaveRun_) {
     fail(504, "no answer in time");
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::uint32_t kAnswerHeaderLimit = 64 * 1024;
 constexpr std::uint64_t kAnswerBodyLimit = 64 * 1024 * 1024;
+// Maximum number of interim answers and answers to other requests that one exchange skips. A server
+// that sends more would otherwise keep the connection busy until the caller's deadline.
+constexpr unsigned kMaxSkippedAnswers = 16;
 // Time for which an idle connection may be reused if the server announces no idle timeout.
 constexpr base::Duration kDefaultIdleTimeout = std::chrono::seconds(4);
 // Idle connections are no longer reused this long before the server closes them, since a request
@@ -40,12 +43,20 @@
                                   std::chrono::seconds(seconds) - kIdleMargin);
 }
 
+bool isLimitError(const error_code& error)
+{
+  return error == http::error::header_limit || error == http::error::body_limit;
+}
+
 } // namespace
 
-ServerConnection::ServerConnection(asio::io_context& context, const dispatch::Endpoint& server)
+ServerConnection::ServerConnection(asio::io_context& context,
+                                   const dispatch::Endpoint& server,
+                                   const BufferQuota& quota)
   : socket_(context)
   , connectTimer_(context)
   , server_(server)
+  , quota_(quota)
 {
 }
 
@@ -56,6 +67,10 @@
                                 Finished finished)
 {
   out_ = std::move(bytes);
+  exchangedBytes_ = 0;
+  memory_ = quota_.reserve();
+  skippedAnswers_ = 0;
+  ++exchanges_;
   requestId_ = std::move(requestId);
   headOnly_ = headOnly;
   finished_ = std::move(finished);
@@ -100,6 +115,7 @@
 void ServerConnection::send()
 {
   sendStarted_ = true;
+  exchangedBytes_ += out_.size();
   if (sendListener_) {
     std::exchange(sendListener_, nullptr)();
   }
@@ -138,7 +154,12 @@
     }
     return;
   }
+  if (!memory_.tryAdd(count)) {
+    finish(ExchangeEnd::TooLarge);
+    return;
+  }
   in_.append(chunk_.data(), count);
+  exchangedBytes_ += count;
   if (error) {
     const bool isComplete = error == asio::error::eof && reader_.headerDone() &&
                             reader_.feed(in_) != ReadState::Failed &&
@@ -156,7 +177,7 @@
       read();
       return;
     case ReadState::Failed:
-      finish(ExchangeEnd::Malformed);
+      finish(isLimitError(reader_.error()) ? ExchangeEnd::TooLarge : ExchangeEnd::Malformed);
       return;
     case ReadState::Done:
       onAnswer();
@@ -170,14 +191,20 @@
   const auto facts = wire::readAnswerMetadata(answer.result_int(), answer);
   const bool isInterim = answer.result_int() < 200;
   const bool isForOtherRequest = !facts.requestId.empty() && facts.requestId != requestId_;
+  // Without an id, the answer may be a late copy of the answer to an earlier request.
+  const bool isAmbiguous = facts.requestId.empty() && !requestId_.empty() && exchanges_ > 1;
   if (!isInterim && !isForOtherRequest) {
-    finish(ExchangeEnd::Answered);
+    finish(isAmbiguous ? ExchangeEnd::Malformed : ExchangeEnd::Answered);
     return;
   }
   if (!isOpen_) {
     finish(ExchangeEnd::Broken);
     return;
   }
+  if (++skippedAnswers_ > kMaxSkippedAnswers) {
+    finish(ExchangeEnd::TooLarge);
+    return;
+  }
   // Skip an interim answer or a late answer to an earlier request, and read the next one.
   reader_.start(kAnswerHeaderLimit, kAnswerBodyLimit, headOnly_);
   if (in_.empty()) {
@@ -195,8 +222,10 @@
   }
   ExchangeResult result;
   result.end = end;
+  result.bytes = exchangedBytes_;
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
+    result.memory = std::move(memory_);
     result.reusable = isOpen_ && requestWritten_ && in_.empty() && result.answer.keep_alive();
     reusableUntil_ = clockNow() + announcedIdleTimeout(result.answer);
   }
@@ -206,6 +235,7 @@
   const Finished finished = std::move(finished_);
   finished_ = nullptr;
   out_.clear();
+  memory_.clear();
   finished(std::move(result));
 }
 
@@ -213,6 +243,7 @@
 {
   finished_ = nullptr;
   idleEndListener_ = nullptr;
+  memory_.clear();
   close();
 }
 
@@ -232,6 +263,7 @@
   }
   closed_ = true;
   isOpen_ = false;
+  in_.clear();
   connectTimer_.cancel();
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/libs/entry/src/ServerPool.cpp
+++ b/libs/entry/src/ServerPool.cpp
@@ -26,9 +26,11 @@
 
 ServerPool::ServerPool(asio::io_context& context,
                        const dispatch::BackendServer& server,
+                       const BufferQuota& quota,
                        double phase)
   : context_(context)
   , server_(server)
+  , quota_(quota)
   , load_(server.slots, kInitialProcessingTime)
   , coldStart_(phase)
   , trialSchedule_(phase, clockNow())
@@ -45,7 +47,7 @@
     return nullptr;
   }
   ++inUse_;
-  return std::make_shared<ServerConnection>(context_, endpointOf(server_));
+  return std::make_shared<ServerConnection>(context_, endpointOf(server_), quota_);
 }
 
 void ServerPool::release(const std::shared_ptr<ServerConnection>& connection, bool reusable)
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-StoreClient::StoreClient(CallClient& calls, const dispatch::Endpoint& store)
+StoreClient::StoreClient(CallClient& calls, const dispatch::Endpoint& store, ByteCounts& bytes)
   : calls_(calls)
   , store_(store)
+  , bytes_(bytes)
 {
 }
 
@@ -104,6 +105,8 @@
 {
   calls_.call({ store_, method, std::move(path), "", std::move(body), timeout, nullptr },
               [this, finished = std::move(finished)](ExchangeResult result) {
+                // The store belongs to no failure domain.
+                bytes_.add("store", false, result.bytes);
                 StoreAnswer answer;
                 answer.outcome = outcomeOf(result);
                 answer.body = std::move(result.answer.body());
--- a/libs/entry/tests/CallerServerTest.cpp
+++ b/libs/entry/tests/CallerServerTest.cpp
@@ -3,6 +3,9 @@
 #include <entry/CallerServer.h>
 
 #include <ServerTexts.h>
+#include <algorithm>
+#include <memory>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -34,14 +37,19 @@
 
   void read()
   {
-    socket.async_read_some(asio::buffer(chunk), [this](const error_code& error, std::size_t count) {
-      received.append(chunk.data(), count);
-      if (error) {
-        ended = true;
-      } else {
-        read();
-      }
-    });
+    socket.async_read_some(
+      asio::buffer(chunk),
+      [this, guard = std::weak_ptr(alive)](const error_code& error, std::size_t count) {
+        if (guard.expired()) {
+          return;
+        }
+        received.append(chunk.data(), count);
+        if (error) {
+          ended = true;
+        } else {
+          read();
+        }
+      });
   }
 
   void send(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
@@ -50,12 +58,15 @@
   std::array<char, 4096> chunk{};
   std::string received;
   bool ended = false;
+  // Expires with this object, which may be destroyed before its handlers run.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 struct Fixture : DispatcherFixture
 {
-  Fixture()
-    : port(freePort(context()))
+  explicit Fixture(std::uint64_t memoryBytes = 256ULL * 1024 * 1024)
+    : DispatcherFixture(memoryBytes)
+    , port(freePort(context()))
     , callers(context(), { "127.0.0.1", port }, dispatcher())
   {
     addPlainServer([](const std::string& request) {
@@ -159,3 +170,140 @@
   REQUIRE(fixture.runUntil([&] { return caller.received.find("ok-i") != std::string::npos; }));
   CHECK(fixture.runUntil([&] { return caller.ended; }));
 }
+
+// Guards against a planned stop that resets requests which have just arrived.
+TEST_CASE("when accepting stops, requests that were sent before are answered")
+{
+  Fixture fixture;
+  Caller kept(fixture.context(), fixture.port);
+  kept.send(get("k0"));
+  REQUIRE(fixture.runUntil([&] { return kept.received.find("ok-k0") != std::string::npos; }));
+  Caller waiting(fixture.context(), fixture.port);
+  waiting.send(get("w"));
+  kept.send(get("k1"));
+  fixture.callers.beginDrain();
+  fixture.callers.stopAccepting();
+  CHECK(fixture.callers.activeRequests() == 2);
+  CHECK(fixture.runUntil([&] { return waiting.ended && kept.ended; }));
+  CHECK(waiting.received.find("ok-w") != std::string::npos);
+  CHECK(kept.received.find("ok-k1") != std::string::npos);
+  CHECK(fixture.runUntil([&] { return fixture.callers.activeRequests() == 0; }));
+}
+
+TEST_CASE("when accepting stops, a caller that has just connected can still send its request")
+{
+  Fixture fixture;
+  Caller prompt(fixture.context(), fixture.port);
+  Caller silent(fixture.context(), fixture.port);
+  fixture.callers.beginDrain();
+  fixture.callers.stopAccepting();
+  asio::steady_timer timer(fixture.context(), milliseconds(100));
+  timer.async_wait([&](const error_code&) { prompt.send(get("p")); });
+  CHECK(fixture.runUntil([&] { return prompt.ended && silent.ended; }));
+  CHECK(prompt.received.find("ok-p") != std::string::npos);
+  CHECK(silent.received.empty());
+  CHECK(fixture.runUntil([&] { return fixture.callers.activeRequests() == 0; }));
+}
+
+// Guards against uploads that fill the memory of the process.
+TEST_CASE("uploads beyond the memory for requests are refused before they are sent on")
+{
+  constexpr std::size_t kBody = 256 * 1024;
+  Fixture fixture(8 * 1024 * 1024);
+  std::vector<std::unique_ptr<Caller>> uploads;
+  for (int i = 0; i < 64; ++i) {
+    uploads.push_back(std::make_unique<Caller>(fixture.context(), fixture.port));
+    uploads.back()->send(
+      "POST /order/x HTTP/1.1\r\nHost: shop.example\r\n" + requestIdLine("u" + std::to_string(i)) +
+      "Content-Length: " + std::to_string(kBody) + "\r\n\r\n" + std::string(kBody / 4, 'x'));
+  }
+  const BufferQuota& memory = fixture.dispatcher().requestMemory();
+  std::uint64_t peak = 0;
+  const auto refused = [&] {
+    peak = std::max(peak, memory.used());
+    return std::ranges::count_if(uploads, [](const auto& upload) { return upload->ended; });
+  };
+  // The quota has room for the first quarter of 15 bodies.
+  CHECK(fixture.runUntil([&] { return refused() >= 48; }));
+  CHECK(peak <= memory.limit());
+  CHECK(fixture.dispatcher().counts().received == 0);
+  CHECK(fixture.dispatcher().counts().refusedNoMemory >= 48);
+  for (const auto& upload : uploads) {
+    if (upload->ended) {
+      CHECK(upload->received.starts_with("HTTP/1.1 503"));
+      CHECK(upload->received.find("Retry-After") != std::string::npos);
+    }
+  }
+  uploads.clear();
+  CHECK(fixture.runUntil([&] { return memory.used() == 0; }));
+}
+
+TEST_CASE("a chunk header without end is refused")
+{
+  Fixture fixture;
+  Caller caller(fixture.context(), fixture.port);
+  caller.send("POST /order/x HTTP/1.1\r\nHost: shop.example\r\n" + requestIdLine("e") +
+              "Transfer-Encoding: chunked\r\n\r\n1;x=");
+  for (int i = 0; i < 16 && !caller.ended; ++i) {
+    caller.send(std::string(8192, 'x'));
+    fixture.context().run_for(milliseconds(5));
+  }
+  CHECK(fixture.runUntil([&] { return caller.ended; }));
+  CHECK(caller.received.starts_with("HTTP/1.1 431"));
+}
+
+// Guards against running requests whose caller was told that they count as not read.
+TEST_CASE("requests behind an answer that closes the connection aren't sent on")
+{
+  Fixture fixture;
+  Caller caller(fixture.context(), fixture.port);
+  caller.send("GET /read/x HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
+              requestIdLine("c1") + "\r\n" + get("c2"));
+  CHECK(fixture.runUntil([&] { return caller.ended; }));
+  CHECK(caller.received.find("ok-c1") != std::string::npos);
+  CHECK(caller.received.find("ok-c2") == std::string::npos);
+  CHECK(fixture.dispatcher().counts().received == 1);
+}
+
+TEST_CASE("a caller that leaves cancels its request, and those behind it aren't sent on")
+{
+  Fixture fixture;
+  {
+    Caller caller(fixture.context(), fixture.port);
+    caller.send(get("l1") + get("l2") + get("l3"));
+    REQUIRE(fixture.runUntil([&] { return fixture.dispatcher().counts().received == 1; }));
+  }
+  CHECK(fixture.runUntil([&] { return fixture.callers.connections() == 0; }));
+  CHECK(fixture.dispatcher().counts().callerLeft == 1);
+  CHECK(fixture.dispatcher().counts().received == 1);
+}
+
+// Guards against memory that one caller fills with requests that aren't read yet.
+TEST_CASE("requests behind one that is being handled are read up to a bound")
+{
+  Fixture fixture;
+  fixture.addUnreachableServer();
+  Caller caller(fixture.context(), fixture.port);
+  caller.socket.non_blocking(true);
+  std::string requests = get("q0");
+  while (requests.size() < 8 * 1024 * 1024) {
+    requests += get("q" + std::to_string(requests.size()));
+  }
+  error_code error;
+  asio::write(caller.socket, asio::buffer(requests), error);
+  CHECK(fixture.runUntil([&] { return fixture.dispatcher().counts().received >= 1; }));
+  CHECK(fixture.dispatcher().requestMemory().used() <= 512 * 1024);
+}
+
+// Guards against memory that is reserved for a length which a caller only announces.
+TEST_CASE("a body announced as larger than the limit gets 413 before it arrives")
+{
+  for (const char* const length : { "4000000000", "99999999999", "18446744073709551615" }) {
+    Fixture fixture;
+    Caller caller(fixture.context(), fixture.port);
+    caller.send("POST /order/x HTTP/1.1\r\nHost: shop.example\r\n" + requestIdLine("h") +
+                "Content-Length: " + length + "\r\n\r\n");
+    CHECK(fixture.runUntil([&] { return caller.ended; }));
+    CHECK(caller.received.starts_with("HTTP/1.1 413"));
+  }
+}
--- a/libs/entry/tests/DispatcherFixture.cpp
+++ b/libs/entry/tests/DispatcherFixture.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-DispatcherFixture::DispatcherFixture()
+DispatcherFixture::DispatcherFixture(std::uint64_t memoryBytes)
 {
+  settings_.memoryBytes = memoryBytes;
   settings_.vm = base::VmId("vm");
   settings_.domain = base::DomainId("a");
   settings_.retrySlack = 100;
@@ -66,6 +67,22 @@
   add("plain", closed.local_endpoint().port());
 }
 
+// Fills the queue of connections that wait to be accepted, so that the system drops further ones.
+void DispatcherFixture::addUnreachableServer()
+{
+  constexpr int kQueue = 1;
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  tcp::acceptor& acceptor = fullAcceptors_.emplace_back(context_);
+  acceptor.open(any.protocol());
+  acceptor.bind(any);
+  acceptor.listen(kQueue);
+  for (int i = 0; i <= kQueue; ++i) {
+    tcp::socket& socket = waitingSockets_.emplace_back(context_);
+    socket.connect(acceptor.local_endpoint());
+  }
+  add("plain", acceptor.local_endpoint().port());
+}
+
 void DispatcherFixture::add(const std::string& service, std::uint16_t port)
 {
   dispatch::BackendServer server;
--- a/libs/entry/tests/DispatcherFixture.h
+++ b/libs/entry/tests/DispatcherFixture.h
@@ -14,12 +14,15 @@
 class DispatcherFixture
 {
 public:
-  DispatcherFixture();
+  // `memoryBytes` is the memory that the entry VM may use.
+  explicit DispatcherFixture(std::uint64_t memoryBytes = 256ULL * 1024 * 1024);
 
   FakeServer& addPlainServer(FakeServer::React react);
   FakeServer& addKeyedServer(FakeServer::React react);
   // Registers a server at an address where nothing listens.
   void addAbsentServer();
+  // Registers a server whose connections are never established.
+  void addUnreachableServer();
   void publish();
 
   // Sends a request and runs the event loop until its answer arrives; returns nothing if there is
@@ -40,6 +43,8 @@
 
   asio::io_context context_;
   std::vector<std::unique_ptr<FakeServer>> fakes_;
+  std::vector<tcp::acceptor> fullAcceptors_;
+  std::vector<tcp::socket> waitingSockets_;
   dispatch::EntrySettings settings_;
   EventLog log_{ "vm" };
   dispatch::Configuration configuration_;
--- a/libs/entry/tests/DispatcherTest.cpp
+++ b/libs/entry/tests/DispatcherTest.cpp
@@ -319,3 +319,54 @@
   fixture.publish();
   CHECK(fixture.sendAndAwait("GET", "/nowhere/x")->status == 404);
 }
+
+// Guards against giving a caller a late copy of the answer to the request before it.
+TEST_CASE("an answer without an id on a connection that was used before is not attributed")
+{
+  for (const bool promise : { true, false }) {
+    DispatcherFixture fixture;
+    fixture.addPlainServer([promise, first = true](const std::string& request) mutable {
+      if (std::exchange(first, false)) {
+        return FakeServer::Reaction{ validAnswer(requestIdOf(request), "ok") };
+      }
+      return FakeServer::Reaction{ promise ? fullAnswer("")
+                                           : "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" };
+    });
+    fixture.publish();
+    REQUIRE(fixture.sendAndAwait("POST", "/order/x"));
+    const auto answer = fixture.sendAndAwait("POST", "/order/x");
+    REQUIRE(answer);
+    CHECK(answer->status == 502);
+  }
+}
+
+// Guards against taking a second copy of a refusal for the answer to the repeat, which runs.
+TEST_CASE("a request that is sent again doesn't use the connection on which it was refused")
+{
+  DispatcherFixture fixture;
+  FakeServer& server = fixture.addKeyedServer([first = true](const std::string& request) mutable {
+    if (std::exchange(first, false)) {
+      return FakeServer::Reaction{ misdirectedAnswer(requestIdOf(request)) };
+    }
+    return FakeServer::Reaction{ validAnswer(requestIdOf(request), "ok") };
+  });
+  fixture.publish();
+  const auto answer = fixture.sendAndAwait("GET", "/keyed/x");
+  REQUIRE(answer);
+  CHECK(answer->status == 200);
+  CHECK(server.requests().size() == 2);
+  CHECK(server.accepted() == 2);
+}
+
+// Guards against a caller that may not repeat a request which no server has received.
+TEST_CASE("a request whose time ends while its connection is being established is refused")
+{
+  DispatcherFixture fixture;
+  fixture.addUnreachableServer();
+  fixture.addUnreachableServer();
+  fixture.publish();
+  const auto answer = fixture.sendAndAwait("POST", "/order/x");
+  REQUIRE(answer);
+  CHECK(answer->status == 503);
+  CHECK(headerOf(*answer, "Retry-After") != "");
+}
--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -11,6 +11,7 @@
 {
   React react;
   std::vector<std::string> requests;
+  unsigned accepted = 0;
   unsigned ended = 0;
 };
 
@@ -20,6 +21,7 @@
 {
   explicit Connection(tcp::socket s)
     : socket(std::move(s))
+    , timer(socket.get_executor())
   {
   }
 
@@ -55,10 +57,30 @@
     }
     if (reaction.end != FakeServer::Reaction::End::KeepOpen) {
       socket.close(ignored);
+    } else if (!reaction.endless.empty()) {
+      writeEndlessly(std::make_shared<FakeServer::Reaction>(reaction));
     }
   }
 
+  void writeEndlessly(const std::shared_ptr<FakeServer::Reaction>& reaction)
+  {
+    asio::async_write(socket,
+                      asio::buffer(reaction->endless),
+                      [self = shared_from_this(), reaction](const error_code& error, std::size_t) {
+                        if (error) {
+                          return;
+                        }
+                        self->timer.expires_after(reaction->endlessInterval);
+                        self->timer.async_wait([self, reaction](const error_code& waitError) {
+                          if (!waitError && self->socket.is_open()) {
+                            self->writeEndlessly(reaction);
+                          }
+                        });
+                      });
+  }
+
   tcp::socket socket;
+  asio::steady_timer timer;
   std::array<char, 65536> chunk{};
   std::string in;
 };
@@ -84,6 +106,11 @@
   return state_->requests;
 }
 
+unsigned FakeServer::accepted() const
+{
+  return state_->accepted;
+}
+
 unsigned FakeServer::ended() const
 {
   return state_->ended;
@@ -95,6 +122,7 @@
     if (error) {
       return;
     }
+    ++state->accepted;
     std::make_shared<Connection>(std::move(socket))
       ->read(
         [state](const std::string& request) {
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -26,6 +26,9 @@
 
     std::string bytes;
     End end = End::KeepOpen;
+    // Bytes that are written again and again after the others, until the connection ends.
+    std::string endless = "";
+    std::chrono::milliseconds endlessInterval{ 0 };
   };
   using React = std::function<Reaction(const std::string& request)>;
 
@@ -34,6 +37,8 @@
 
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   const std::vector<std::string>& requests() const;
+  // Returns the number of connections that the server has accepted.
+  unsigned accepted() const;
   // Returns the number of connections that the other side has ended.
   unsigned ended() const;
 
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -135,7 +135,8 @@
   nextStatusLineAt_ = now + kStatusInterval;
   const DispatchCounts& counts = dispatcher_.counts();
   log_.write("status",
-             { { "received", counts.received },
+             { { "run", runId_ },
+               { "received", counts.received },
                { "passed_on", counts.passedOn },
                { "retries", counts.retries },
                { "coordinating", status.isCoordinator },
@@ -148,7 +149,8 @@
                { "store_watches", status.calls.watches },
                { "store_reads", status.calls.reads },
                { "store_writes", status.calls.writes },
-               { "store_failed", status.calls.failed } });
+               { "store_failed", status.calls.failed },
+               { "bytes", { dispatcher_.bytes().toJson(), status.bytes.toJson() } } });
 }
 
 void EntryProcess::awaitSignal()
@@ -268,6 +270,7 @@
   appendMetric("refused_no_room_total", counts.refusedNoRoom);
   appendMetric("refused_by_server_total", counts.refusedByServer);
   appendMetric("refused_unreachable_total", counts.refusedUnreachable);
+  appendMetric("refused_no_memory_total", counts.refusedNoMemory);
   appendMetric("failed_unknown_total", counts.failedUnknown);
   appendMetric("failed_timeout_total", counts.failedTimeout);
   appendMetric("caller_left_total", counts.callerLeft);
@@ -279,6 +282,7 @@
   appendMetric("connections", callerServer_.connections());
   std::string metrics = text.str();
   writeStatus(metrics, status_);
+  writeByteCounts(metrics, dispatcher_.bytes(), status_.bytes);
   dispatcher_.metrics().write(metrics);
   return metrics;
 }
