Share the load of servers within a failure domain, compare a sample of servers

Change: one VM a domain adds up requests in flight and processing times and sends the sum back every 200 ms; an unmeasured server counts as an average one; a VM compares a sample of the servers, since all would pick the same with information that is 200 ms old.

--- a/libs/dispatch/include/dispatch/FanoutPlan.h
+++ b/libs/dispatch/include/dispatch/FanoutPlan.h
@@ -46,6 +46,12 @@
   std::vector<DomainFanout> forwarded;
 };
 
+// Returns the addresses of the VMs that forward for a domain with these VMs: those with the most
+// processor capacity, and by name among equal ones, so that the choice changes rarely.
+std::vector<std::string> chooseForwarders(std::vector<const FanoutPeer*> peers,
+                                          const FanoutSettings& settings,
+                                          base::TimePoint now);
+
 // Decides by which way a change gets to all other entry VMs. A change crosses the border of a
 // failure domain only once per forwarder instead of once per VM, since traffic between domains is
 // expensive and hundreds of sends for each change would keep one VM busy. A VM that misses a
--- a/libs/dispatch/include/dispatch/ServerLoad.h
+++ b/libs/dispatch/include/dispatch/ServerLoad.h
@@ -21,11 +21,15 @@
   void onRequestEnded();
 
   // The server ran a request and answered after `elapsed`, with a load report if it sends one. The
-  // queue length determines which part of that time was processing.
-  void onRequestExecuted(base::Duration elapsed, const std::optional<LoadReport>& report);
+  // queue length determines which part of that time was processing, which is returned.
+  base::Duration onRequestExecuted(base::Duration elapsed, const std::optional<LoadReport>& report);
 
   void onLoadReport(const LoadReport& report, base::TimePoint now);
 
+  // The entry VMs of this failure domain know together that other VMs have this many requests in
+  // flight at the server, and its mean processing time if they have measured it recently.
+  void onSharedLoad(double othersInFlight, std::optional<base::Duration> work, base::TimePoint now);
+
   // The server refused a request for lack of room.
   void onServerFull(base::TimePoint now);
 
@@ -39,6 +43,15 @@
   // Returns the mean processing time of a request in a slot.
   base::Duration work() const { return work_; }
 
+  // Sets the processing time to assume until this server's own has been measured, such as the mean
+  // of the service's other servers.
+  void assumeWork(base::Duration work)
+  {
+    if (!isWorkMeasured_) {
+      work_ = work;
+    }
+  }
+
   // Returns the requests that the server ran since the last call, and their total time in slots.
   WorkSample takeWorkSample();
 
@@ -60,11 +73,15 @@
   unsigned slots_;
   // Mean processing time of a request in a slot.
   base::Duration work_;
+  bool isWorkMeasured_ = false;
   WorkSample sample_;
   unsigned inFlight_ = 0;
   // Requests of other entry VMs at the time of the last report.
   double otherRequests_ = 0;
   double slowness_ = 1;
+  // Requests of other entry VMs as last shared, and the time until which that counts.
+  double sharedOtherRequests_ = 0;
+  base::TimePoint sharedLoadExpiresAt_{};
   base::TimePoint reportedAt_{};
   base::TimePoint lastAnswerAt_{};
   unsigned consecutiveFailures_ = 0;
--- a/libs/dispatch/include/dispatch/WorkMean.h
+++ b/libs/dispatch/include/dispatch/WorkMean.h
@@ -22,8 +22,7 @@
 public:
   void add(const WorkSample& sample, base::TimePoint now)
   {
-    const double passed = std::chrono::duration<double>(now - updatedAt_).count();
-    const double factor = std::exp(-passed / kMeanSeconds);
+    const double factor = decay(now);
     count_ = count_ * factor + sample.count;
     total_ = total_ * factor + std::chrono::duration<double>(sample.total).count();
     updatedAt_ = now;
@@ -36,7 +35,18 @@
     return (total_ + assumed * kAssumedCount) / (count_ + kAssumedCount);
   }
 
+  // Returns the weight of the samples: their number, less the older they are.
+  double count(base::TimePoint now) const { return count_ * decay(now); }
+
+  // Returns the mean of the samples alone, in seconds. There has to be one.
+  double measuredSeconds() const { return total_ / count_; }
+
 private:
+  double decay(base::TimePoint now) const
+  {
+    return std::exp(-std::chrono::duration<double>(now - updatedAt_).count() / kMeanSeconds);
+  }
+
   // Time constant: long enough to average out momentary slowness, short enough to detect a server
   // that becomes slow.
   static constexpr double kMeanSeconds = 4;
--- a/libs/dispatch/src/FanoutPlan.cpp
+++ b/libs/dispatch/src/FanoutPlan.cpp
@@ -5,10 +5,6 @@
 
 namespace sycamore::dispatch {
 
-namespace {
-
-// Returns the addresses of the VMs that forward for a domain: those with the most processor
-// capacity, and by name among equal ones, so that the choice changes rarely.
 std::vector<std::string> chooseForwarders(std::vector<const FanoutPeer*> peers,
                                           const FanoutSettings& settings,
                                           base::TimePoint now)
@@ -29,8 +25,6 @@
   return forwarders;
 }
 
-} // namespace
-
 FanoutPlan planFanout(const std::vector<FanoutPeer>& peers,
                       const base::DomainId& ownDomain,
                       const FanoutSettings& settings,
--- a/libs/dispatch/src/PeerTable.cpp
+++ b/libs/dispatch/src/PeerTable.cpp
@@ -48,6 +48,18 @@
   return static_cast<std::size_t>(peers) + 1;
 }
 
+std::string PeerTable::loadAggregator(const base::DomainId& domain, base::TimePoint now) const
+{
+  std::vector<const FanoutPeer*> members;
+  for (const auto& [vm, peer] : peers_) {
+    if (peer.domain == domain) {
+      members.push_back(&peer);
+    }
+  }
+  const std::vector<std::string> chosen = chooseForwarders(std::move(members), {}, now);
+  return chosen.empty() ? "" : chosen.front();
+}
+
 bool PeerTable::isInDomain(const base::VmId& vm, const base::DomainId& domain) const
 {
   const auto found = peers_.find(vm);
--- a/libs/dispatch/src/ServerLoad.cpp
+++ b/libs/dispatch/src/ServerLoad.cpp
@@ -13,6 +13,8 @@
 constexpr base::Duration kReportHalfLife = base::milliseconds(120);
 // Time for which a report of momentary slowness is valid.
 constexpr base::Duration kSlownessDuration = base::milliseconds(400);
+// Time for which shared load counts without an update: several updates have been lost.
+constexpr base::Duration kSharedLoadDuration = base::milliseconds(700);
 // Number of consecutive failures from which on a server is suspect.
 constexpr unsigned kSuspectFailures = 2;
 // Time for which a suspect server is avoided at first. It doubles with each further failure up to
@@ -48,7 +50,8 @@
   inFlight_ -= inFlight_ > 0 ? 1 : 0;
 }
 
-void ServerLoad::onRequestExecuted(base::Duration elapsed, const std::optional<LoadReport>& report)
+base::Duration ServerLoad::onRequestExecuted(base::Duration elapsed,
+                                             const std::optional<LoadReport>& report)
 {
   onRequestEnded();
   // The queue behind an answered request is assumed to be as long as the one in front of it was.
@@ -56,8 +59,10 @@
   const double turns = std::max(1.0, (requestsPresent + 1) / slots_);
   const base::Duration work = fromSeconds(seconds(elapsed) / turns);
   work_ = fromSeconds(seconds(work_) * (1 - kWorkGain) + seconds(work) * kWorkGain);
+  isWorkMeasured_ = true;
   ++sample_.count;
   sample_.total += work;
+  return work;
 }
 
 WorkSample ServerLoad::takeWorkSample()
@@ -75,6 +80,18 @@
   reportedAt_ = now;
 }
 
+void ServerLoad::onSharedLoad(double othersInFlight,
+                              std::optional<base::Duration> work,
+                              base::TimePoint now)
+{
+  sharedOtherRequests_ = othersInFlight;
+  sharedLoadExpiresAt_ = now + kSharedLoadDuration;
+  if (work) {
+    work_ = *work;
+    isWorkMeasured_ = true;
+  }
+}
+
 void ServerLoad::onServerFull(base::TimePoint now)
 {
   otherRequests_ = std::max(otherRequests_, 3.0 * slots_ - inFlight_);
@@ -100,7 +117,9 @@
 double ServerLoad::occupancy(base::TimePoint now) const
 {
   const double halfLives = seconds(now - reportedAt_) / seconds(kReportHalfLife);
-  return inFlight_ + otherRequests_ * std::exp2(-halfLives);
+  const double reported = otherRequests_ * std::exp2(-halfLives);
+  const double shared = now < sharedLoadExpiresAt_ ? sharedOtherRequests_ : 0;
+  return inFlight_ + std::max(reported, shared);
 }
 
 base::Duration ServerLoad::expectedLatency(base::TimePoint now) const
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -10,9 +10,12 @@
 #include <dispatch/CrashSuspects.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/KeyRates.h>
+#include <dispatch/LoadAggregator.h>
 #include <dispatch/PriorityThrottle.h>
 #include <dispatch/RouteTable.h>
 #include <dispatch/RoutingView.h>
+#include <dispatch/ServerSampling.h>
+#include <dispatch/WorkMean.h>
 #include <requests/RetryBudget.h>
 #include <wire/ServerProtocol.h>
 
@@ -30,6 +33,8 @@
   std::map<base::ServiceId, dispatch::KeyCounts> keys;
   // Processing times measured at the servers of keyed services.
   std::map<base::ServerId, dispatch::WorkSample> work;
+  // Use of all servers, for the other entry VMs of the failure domain.
+  std::map<base::ServerId, dispatch::ServerUse> use;
 };
 
 // Counters of requests, of their results by kind, and of retries.
@@ -73,6 +78,9 @@
   }
   void onRemoteConnectionBreak(std::uint64_t digest, const std::string& serverIncarnation);
 
+  // The entry VMs of this failure domain have shared their use of the servers.
+  void onSharedLoad(const dispatch::LoadSummary& summary);
+
   const dispatch::CallerLimits& callerLimits() const;
 
   // Handles a request that began to arrive at `beganAt`. `deliver` is called exactly once unless
@@ -107,6 +115,11 @@
 
   Choice chooseOwner(const RequestHandler& request, base::TimePoint now);
   Choice chooseAny(const RequestHandler& request, base::TimePoint now);
+  // Chooses the server with the lowest cost that has room. Without one, the choice names the server
+  // that decided, or none if all are cold and at their limit.
+  Choice chooseAmong(const std::vector<std::shared_ptr<ServerPool>>& pools,
+                     const RequestHandler& request,
+                     base::TimePoint now);
   // Returns the retry delay if the server has no room for the request, see AdmissionRule; nothing
   // if the request may be sent.
   std::optional<base::Duration> retryDelayIfRefused(const RequestHandler& request,
@@ -116,6 +129,10 @@
                  base::Duration excess,
                  std::uint64_t& counter,
                  std::shared_ptr<ServerPool> decidingServer = nullptr);
+  // Records the processing time of a request at one of the service's servers.
+  void recordServiceWork(const base::ServiceId& service, base::Duration work, base::TimePoint now);
+  // Lets servers that haven't been measured count as average ones of their service.
+  void assumeServiceWork(ServerPool& pool) const;
   bool isKeyed(const base::ServiceId& service) const;
   bool acceptsRequests(const dispatch::BackendServer& server) const;
   bool tryTakeColdStartShare(ServerPool& pool, base::TimePoint now);
@@ -133,6 +150,7 @@
   std::map<base::ServerId, std::shared_ptr<ServerPool>> pools_;
   std::map<base::ServiceId, std::vector<std::shared_ptr<ServerPool>>> poolsByService_;
   std::map<base::ServiceId, requests::RetryBudget> retryBudgets_;
+  std::map<base::ServiceId, dispatch::WorkMean> serviceWork_;
   dispatch::AdmissionRule admission_;
   std::map<base::ServiceId, dispatch::PriorityThrottle> priorityThrottles_;
   dispatch::CrashSuspects suspects_;
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -30,6 +30,7 @@
 public:
   using Publish = std::function<void(std::shared_ptr<const dispatch::RoutingView>)>;
   using RemoteBreakListener = std::function<void(const ConnectionBreak&)>;
+  using SharedLoadListener = std::function<void(dispatch::LoadSummary)>;
 
   // `run` is a random number that identifies this run of the process.
   EntryControl(asio::io_context& context,
@@ -37,7 +38,8 @@
                EventLog& log,
                std::uint64_t run,
                Publish publish,
-               RemoteBreakListener remoteBreakListener);
+               RemoteBreakListener remoteBreakListener,
+               SharedLoadListener sharedLoadListener);
 
   void start();
 
@@ -76,6 +78,8 @@
   void onPeerMessage(const PeerMessage& message, const std::string& from);
   void onHeartbeat(const HeartbeatMessage& message, const std::string& from);
   void onForward(const ForwardMessage& message);
+  void reportServerUse(const std::map<base::ServerId, dispatch::ServerUse>& use);
+  void sendLoadSummary(base::TimePoint now);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
   void sendHeartbeats(base::TimePoint now);
@@ -93,6 +97,7 @@
   EventLog& log_;
   Publish publish_;
   RemoteBreakListener remoteBreakListener_;
+  SharedLoadListener sharedLoadListener_;
   dispatch::Coordinator self_;
   ByteCounts bytes_;
   CallClient calls_;
@@ -112,6 +117,11 @@
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
   dispatch::PeerTable peerTable_;
+  // Used while this VM aggregates the load for its failure domain.
+  dispatch::LoadAggregator loadAggregator_;
+  // IP address of the VM that aggregates the load for this domain; empty if none is known.
+  std::string loadAggregatorAddress_;
+  base::TimePoint nextLoadSummaryAt_{};
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
   std::vector<ConnectionBreak> pendingConnectionBreaks_;
--- a/libs/entry/include/entry/MessageReader.h
+++ b/libs/entry/include/entry/MessageReader.h
@@ -64,6 +64,9 @@
   // without a length.
   ReadState finish()
   {
+    if (!parser_->got_some()) {
+      return ReadState::Failed;
+    }
     if (!parser_->is_done()) {
       parser_->put_eof(error_);
     }
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -4,6 +4,7 @@
 
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/KeyRates.h>
+#include <dispatch/LoadAggregator.h>
 #include <dispatch/OwnershipCopy.h>
 #include <dispatch/WorkMean.h>
 
@@ -39,6 +40,9 @@
   // kind last changed.
   bool isRelay = false;
   std::vector<std::uint64_t> lastChangeRevisions;
+  // IP address of the VM that aggregates the load for the receiver's failure domain; empty if none
+  // is known.
+  std::string loadAggregator;
 };
 
 // Message from every other entry VM to the coordinator, sent at regular intervals.
@@ -88,12 +92,27 @@
   std::string message;
 };
 
+// Message from an entry VM to the one that aggregates the load for its failure domain, sent at
+// regular intervals: its use of the servers.
+struct ServerUseMessage
+{
+  std::map<base::ServerId, dispatch::ServerUse> servers;
+};
+
+// Answer to the VMs of the domain that report their use of the servers.
+struct LoadSummaryMessage
+{
+  dispatch::LoadSummary summary;
+};
+
 using PeerMessage = std::variant<HeartbeatMessage,
                                  ReportMessage,
                                  CoordinatorStoppedMessage,
                                  OwnershipDeltaMessage,
                                  ObjectChangeMessage,
-                                 ForwardMessage>;
+                                 ForwardMessage,
+                                 ServerUseMessage,
+                                 LoadSummaryMessage>;
 
 // Convert a message to the bytes of a datagram and back. Decoding returns nothing if the bytes
 // aren't a message.
--- a/libs/entry/include/entry/ServerPool.h
+++ b/libs/entry/include/entry/ServerPool.h
@@ -12,6 +12,9 @@
 
 namespace sycamore::entry {
 
+// Processing time assumed for a request until one has been measured.
+inline constexpr base::Duration kInitialProcessingTime = base::milliseconds(100);
+
 // This entry VM's state for one backend server: its connections, its load, its cold start and its
 // trial requests. Traffic thread only.
 class ServerPool
@@ -31,6 +34,10 @@
   dispatch::ColdStartShare& coldStart() { return coldStart_; }
   dispatch::TrialSchedule& trialSchedule() { return trialSchedule_; }
 
+  // Requests in flight as last reported to the other entry VMs.
+  unsigned reportedInFlight() const { return reportedInFlight_; }
+  void setReportedInFlight(unsigned count) { reportedInFlight_ = count; }
+
   // Returns an idle connection or a new one; null if `limit` connections are in use.
   std::shared_ptr<ServerConnection> acquire(std::size_t limit, base::TimePoint now);
 
@@ -50,6 +57,7 @@
   dispatch::TrialSchedule trialSchedule_;
   IdleConnections idleConnections_;
   std::size_t inUse_ = 0;
+  unsigned reportedInFlight_ = 0;
 };
 
 // Returns the address of a server; the port is 0 if the address can't be parsed.
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -82,6 +82,28 @@
   suspects_.onConnectionBroken(digest, serverIncarnation, clockNow());
 }
 
+void Dispatcher::onSharedLoad(const dispatch::LoadSummary& summary)
+{
+  const base::TimePoint now = clockNow();
+  const std::size_t allVms = std::max({ std::size_t{ 1 }, summary.vms, view_->entryVms });
+  const double shareOfVms = static_cast<double>(summary.vms) / static_cast<double>(allVms);
+  for (const auto& [id, pool] : pools_) {
+    const auto found = summary.servers.find(id);
+    const dispatch::SharedServerLoad load =
+      found == summary.servers.end() ? dispatch::SharedServerLoad{} : found->second;
+    // A key's owner gets requests from the VMs of all domains, other servers mostly from their own.
+    const double share = isKeyed(pool->server().service) ? shareOfVms : 1;
+    const double others =
+      dispatch::estimateOthersInFlight(load.inFlight, pool->reportedInFlight(), share);
+    const bool measured = load.work > base::Duration::zero();
+    pool->load().onSharedLoad(others, measured ? std::optional(load.work) : std::nullopt, now);
+    if (measured) {
+      // Another VM's request shows as much of the server as a trial would.
+      pool->trialSchedule().onRequestSent(now);
+    }
+  }
+}
+
 const dispatch::CallerLimits& Dispatcher::callerLimits() const
 {
   static const dispatch::CallerLimits defaults;
@@ -105,9 +127,14 @@
   report_ = {};
   for (const auto& [id, pool] : pools_) {
     const dispatch::WorkSample sample = pool->load().takeWorkSample();
+    const unsigned inFlight = pool->load().inFlight();
+    pool->setReportedInFlight(inFlight);
     if (sample.count > 0 && isKeyed(pool->server().service)) {
       report.work[id] = sample;
     }
+    if (sample.count > 0 || inFlight > 0) {
+      report.use[id] = { inFlight, sample };
+    }
   }
   return report;
 }
@@ -135,6 +162,23 @@
   };
 }
 
+void Dispatcher::recordServiceWork(const base::ServiceId& service,
+                                   base::Duration work,
+                                   base::TimePoint now)
+{
+  serviceWork_[service].add({ 1, work }, now);
+}
+
+void Dispatcher::assumeServiceWork(ServerPool& pool) const
+{
+  const auto found = serviceWork_.find(pool.server().service);
+  if (found != serviceWork_.end()) {
+    const double assumed = std::chrono::duration<double>(kInitialProcessingTime).count();
+    pool.load().assumeWork(std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(found->second.seconds(assumed))));
+  }
+}
+
 bool Dispatcher::isKeyed(const base::ServiceId& service) const
 {
   if (!view_->configuration) {
@@ -183,6 +227,7 @@
     return refusal(
       "the key's owner doesn't answer", kNoOwnerRetryDelay, counts_.refusedUnreachable, pool);
   }
+  assumeServiceWork(*pool);
   const base::Duration expected = pool->load().expectedLatency(now);
   if (const auto retryDelay = retryDelayIfRefused(request, expected, now)) {
     priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
@@ -204,6 +249,49 @@
   if (found == poolsByService_.end()) {
     return refusal("the service has no servers", kNoOwnerRetryDelay, counts_.refusedNoOwner);
   }
+  std::vector<std::shared_ptr<ServerPool>> sameDomain;
+  std::vector<std::shared_ptr<ServerPool>> otherDomains;
+  for (const auto& pool : found->second) {
+    const bool usable = acceptsRequests(pool->server()) && !request.tried(pool->server().id) &&
+                        !pool->load().isSuspect(now);
+    if (usable) {
+      const bool isSameDomain = pool->server().domain == settings_.domain;
+      (isSameDomain ? sameDomain : otherDomains).push_back(pool);
+    }
+  }
+  // A few servers of each kind are compared first. The others are considered only if none of these
+  // can take the request.
+  const auto others = dispatch::splitAtRandom(
+    otherDomains, dispatch::comparedServers(otherDomains.size(), view_->entryVms), random_);
+  auto rest = dispatch::splitAtRandom(
+    sameDomain, dispatch::comparedServers(sameDomain.size(), view_->entryVms), random_);
+  rest.insert(rest.end(), others.begin(), others.end());
+  sameDomain.insert(sameDomain.end(), otherDomains.begin(), otherDomains.end());
+
+  std::optional<Choice> busy;
+  for (const auto& pools : { sameDomain, rest }) {
+    const Choice choice = chooseAmong(pools, request, now);
+    if (choice.pool) {
+      priorityThrottles_[request.service()].onRequestSent(request.route().priority, now);
+      return choice;
+    }
+    if (choice.decidingServer && (!busy || choice.retryAfter < busy->retryAfter)) {
+      busy = choice;
+    }
+  }
+  if (busy) {
+    priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
+    return *busy;
+  }
+  return refusal("no server of the service can take the request",
+                 kNoOwnerRetryDelay,
+                 counts_.refusedUnreachable);
+}
+
+Dispatcher::Choice Dispatcher::chooseAmong(const std::vector<std::shared_ptr<ServerPool>>& pools,
+                                           const RequestHandler& request,
+                                           base::TimePoint now)
+{
   struct Candidate
   {
     std::shared_ptr<ServerPool> pool;
@@ -211,11 +299,8 @@
     base::Duration cost;
   };
   std::vector<Candidate> candidates;
-  for (const auto& pool : found->second) {
-    if (!acceptsRequests(pool->server()) || request.tried(pool->server().id) ||
-        pool->load().isSuspect(now)) {
-      continue;
-    }
+  for (const auto& pool : pools) {
+    assumeServiceWork(*pool);
     const base::Duration expected = pool->load().expectedLatency(now);
     const bool isSameDomain = pool->server().domain == settings_.domain;
     const double preference =
@@ -225,30 +310,22 @@
     const bool trial = pool->trialSchedule().isDue(view_->entryVms, now);
     candidates.push_back({ pool, expected, trial ? base::Duration::zero() : expected + penalty });
   }
-  std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-    return a.cost < b.cost;
-  });
+  std::ranges::sort(candidates, {}, &Candidate::cost);
   std::optional<base::Duration> retryDelay;
   for (const Candidate& candidate : candidates) {
     const auto refused = retryDelayIfRefused(request, candidate.expected, now);
     if (refused) {
       retryDelay = retryDelay ? std::min(*retryDelay, *refused) : refused;
-      continue;
-    }
-    if (tryTakeColdStartShare(*candidate.pool, now)) {
-      priorityThrottles_[request.service()].onRequestSent(request.route().priority, now);
+    } else if (tryTakeColdStartShare(*candidate.pool, now)) {
       return { candidate.pool, "", {}, nullptr };
     }
   }
-  if (retryDelay) {
-    priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
-    return {
-      nullptr, "all servers are busy", *retryDelay, &counts_.refusedNoRoom, candidates.front().pool
-    };
+  if (!retryDelay) {
+    return {};
   }
-  return refusal("no server of the service can take the request",
-                 kNoOwnerRetryDelay,
-                 counts_.refusedUnreachable);
+  return {
+    nullptr, "all servers are busy", *retryDelay, &counts_.refusedNoRoom, candidates.front().pool
+  };
 }
 
 std::shared_ptr<ServerPool> Dispatcher::poolOf(const base::ServerId& id)
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -21,6 +21,8 @@
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
 constexpr base::Duration kReportInterval = base::milliseconds(500);
+// Interval between two summaries of the load in this VM's failure domain.
+constexpr base::Duration kLoadSummaryInterval = base::milliseconds(200);
 constexpr std::chrono::milliseconds kRegisterRetryDelay{ 1000 };
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
@@ -44,11 +46,13 @@
                            EventLog& log,
                            std::uint64_t run,
                            Publish publish,
-                           RemoteBreakListener remoteBreakListener)
+                           RemoteBreakListener remoteBreakListener,
+                           SharedLoadListener sharedLoadListener)
   : settings_(settings)
   , log_(log)
   , publish_(std::move(publish))
   , remoteBreakListener_(std::move(remoteBreakListener))
+  , sharedLoadListener_(std::move(sharedLoadListener))
   , self_{ settings.vm, run, settings.ip }
   , calls_(context, BufferQuota(settings.memoryBytes / kControlMemoryShare))
   , store_(calls_, settings.store, bytes_)
@@ -112,6 +116,7 @@
 
 void EntryControl::recordTraffic(TrafficReport report)
 {
+  reportServerUse(report.use);
   if (coordinatorRole_.active()) {
     recordForCoordinator(report.keys, report.work);
     return;
@@ -404,6 +409,12 @@
     onObjectChange(relayed->change);
   } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
     onForward(*forward);
+  } else if (const auto* use = std::get_if<ServerUseMessage>(&message)) {
+    loadAggregator_.onReport(from, use->servers, clockNow());
+  } else if (const auto* load = std::get_if<LoadSummaryMessage>(&message)) {
+    if (from == loadAggregatorAddress_) {
+      sharedLoadListener_(load->summary);
+    }
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
     // Only the direct predecessor knows when all coordinators before it stop granting.
     if (coordinatorRole_.active() &&
@@ -444,6 +455,7 @@
     remoteBreakListener_(connectionBreak);
   }
   setEntryVms(message.entryVms);
+  loadAggregatorAddress_ = message.loadAggregator;
   if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
     for (std::size_t i = 0; i < mirrors_.size(); ++i) {
       mirrors_[i]->onRelayAnnouncement(message.lastChangeRevisions[i], clockNow());
@@ -473,6 +485,28 @@
   }
 }
 
+void EntryControl::reportServerUse(const std::map<base::ServerId, dispatch::ServerUse>& use)
+{
+  if (loadAggregatorAddress_ == settings_.ip) {
+    loadAggregator_.onReport(settings_.ip, use, clockNow());
+  } else if (!loadAggregatorAddress_.empty()) {
+    peerLink_.send({ loadAggregatorAddress_, true }, ServerUseMessage{ use });
+  }
+}
+
+// Sends the summary to the VMs that report to this one. Without reporters, another VM aggregates.
+void EntryControl::sendLoadSummary(base::TimePoint now)
+{
+  const LoadSummaryMessage message{ loadAggregator_.summary(now) };
+  for (const std::string& reporter : loadAggregator_.reporters()) {
+    if (reporter == settings_.ip) {
+      sharedLoadListener_(message.summary);
+    } else {
+      peerLink_.send({ reporter, true }, message);
+    }
+  }
+}
+
 void EntryControl::onReport(const ReportMessage& message, const std::string& from)
 {
   if (!coordinatorRole_.active()) {
@@ -511,6 +545,10 @@
     sendReport();
     nextReportAt_ = now + kReportInterval;
   }
+  if (now >= nextLoadSummaryAt_) {
+    sendLoadSummary(now);
+    nextLoadSummaryAt_ = now + kLoadSummaryInterval;
+  }
   tickTimer_.expires_after(kTickInterval);
   tickTimer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -548,7 +586,15 @@
   for (const dispatch::Candidate& candidate : order) {
     ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
   }
+  std::map<base::DomainId, std::string> loadAggregators;
+  for (const auto& [vm, peer] : peerTable_.peers()) {
+    if (!loadAggregators.contains(peer.domain)) {
+      loadAggregators[peer.domain] = peerTable_.loadAggregator(peer.domain, now);
+    }
+  }
+  loadAggregatorAddress_ = loadAggregators[settings_.domain];
   for (const auto& [vm, peer] : peerTable_.peers()) {
+    message.loadAggregator = loadAggregators[peer.domain];
     const auto rank = ranks.find(vm);
     message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
     peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -21,6 +21,14 @@
 constexpr int kOwnershipDelta = 4;
 constexpr int kObjectChange = 5;
 constexpr int kForward = 6;
+constexpr int kServerUse = 7;
+constexpr int kLoadSummary = 8;
+
+// Durations are sent in whole milliseconds, which take few bytes.
+std::int64_t toMilliseconds(base::Duration duration)
+{
+  return std::chrono::round<std::chrono::milliseconds>(duration).count();
+}
 
 Json writeConnectionBreaks(const std::vector<ConnectionBreak>& connectionBreaks)
 {
@@ -55,7 +63,8 @@
                        writeConnectionBreaks(message.connectionBreaks),
                        message.revision,
                        message.isRelay,
-                       message.lastChangeRevisions });
+                       message.lastChangeRevisions,
+                       message.loadAggregator });
 }
 
 Json toJson(const ReportMessage& message)
@@ -71,9 +80,7 @@
   }
   Json work = Json::object();
   for (const auto& [server, sample] : message.work) {
-    // Sent in whole milliseconds, which take few bytes.
-    const auto total = std::chrono::round<std::chrono::milliseconds>(sample.total);
-    work[server.value()] = { sample.count, total.count() };
+    work[server.value()] = { sample.count, toMilliseconds(sample.total) };
   }
   return Json::array({ kReport,
                        message.vm.value(),
@@ -157,6 +164,48 @@
   return message;
 }
 
+Json toJson(const ServerUseMessage& message)
+{
+  Json servers = Json::object();
+  for (const auto& [server, use] : message.servers) {
+    servers[server.value()] = { use.inFlight, use.work.count, toMilliseconds(use.work.total) };
+  }
+  return Json::array({ kServerUse, std::move(servers) });
+}
+
+ServerUseMessage readServerUse(const Json& json)
+{
+  ServerUseMessage message;
+  for (const auto& [server, use] : json.at(1).items()) {
+    message.servers[base::ServerId(server)] = {
+      use.at(0).get<unsigned>(),
+      { use.at(1).get<std::uint32_t>(), std::chrono::milliseconds(use.at(2).get<std::int64_t>()) }
+    };
+  }
+  return message;
+}
+
+Json toJson(const LoadSummaryMessage& message)
+{
+  Json servers = Json::object();
+  for (const auto& [server, load] : message.summary.servers) {
+    servers[server.value()] = { load.inFlight, toMilliseconds(load.work) };
+  }
+  return Json::array({ kLoadSummary, message.summary.vms, std::move(servers) });
+}
+
+LoadSummaryMessage readLoadSummary(const Json& json)
+{
+  LoadSummaryMessage message;
+  message.summary.vms = json.at(1).get<std::size_t>();
+  for (const auto& [server, load] : json.at(2).items()) {
+    message.summary.servers[base::ServerId(server)] = {
+      load.at(0).get<unsigned>(), std::chrono::milliseconds(load.at(1).get<std::int64_t>())
+    };
+  }
+  return message;
+}
+
 ObjectChangeMessage readObjectChange(const Json& json)
 {
   ObjectChangeMessage message;
@@ -207,6 +256,7 @@
   message.revision = json.at(10).get<std::uint64_t>();
   message.isRelay = json.at(11).get<bool>();
   message.lastChangeRevisions = json.at(12).get<std::vector<std::uint64_t>>();
+  message.loadAggregator = json.at(13).get<std::string>();
   return message;
 }
 
@@ -261,6 +311,10 @@
         return readObjectChange(json);
       case kForward:
         return readForward(json);
+      case kServerUse:
+        return readServerUse(json);
+      case kLoadSummary:
+        return readLoadSummary(json);
       default:
         return std::nullopt;
     }
@@ -272,8 +326,8 @@
 const char* kindNameOf(const PeerMessage& message)
 {
   // In the order of the variant's alternatives.
-  constexpr std::array kNames{ "heartbeat",       "report",        "coordinator_stopped",
-                               "ownership_delta", "object_change", "forward" };
+  constexpr std::array kNames{ "heartbeat",     "report",  "coordinator_stopped", "ownership_delta",
+                               "object_change", "forward", "server_use",          "load_summary" };
   static_assert(kNames.size() == std::variant_size_v<PeerMessage>);
   return kNames.at(message.index());
 }
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -184,7 +184,8 @@
   const std::string incarnation = dispatch::incarnationOf(pool_->server().id, pool_->server().born);
   const bool answered = result.end == ExchangeEnd::Answered;
   if (answered && !answerMetadata.notRun) {
-    load.onRequestExecuted(now - sentAt_, answerMetadata.load);
+    const base::Duration work = load.onRequestExecuted(now - sentAt_, answerMetadata.load);
+    dispatcher_.recordServiceWork(service_, work, now);
   } else {
     load.onRequestEnded();
   }
--- a/libs/entry/src/ServerPool.cpp
+++ b/libs/entry/src/ServerPool.cpp
@@ -6,13 +6,6 @@
 
 namespace sycamore::entry {
 
-namespace {
-
-// Processing time assumed for a request until one has been measured.
-constexpr base::Duration kInitialProcessingTime = base::milliseconds(100);
-
-} // namespace
-
 dispatch::Endpoint endpointOf(const dispatch::BackendServer& server)
 {
   const std::size_t colon = server.address.rfind(':');
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 // Interval between two traffic reports to the control thread.
-constexpr std::chrono::milliseconds kReportInterval{ 250 };
+constexpr std::chrono::milliseconds kReportInterval{ 200 };
 // Time for which new connections are still accepted during a drain: the platform needs some seconds
 // to direct them to other VMs.
 constexpr base::Duration kAcceptDuringDrainDuration = std::chrono::milliseconds(3200);
@@ -61,6 +61,10 @@
           dispatcher_.onRemoteConnectionBreak(connectionBreak.digest,
                                               connectionBreak.serverIncarnation);
         });
+      },
+      [this](dispatch::LoadSummary summary) {
+        asio::post(traffic_,
+                   [this, summary = std::move(summary)] { dispatcher_.onSharedLoad(summary); });
       })
   , signals_(traffic_, SIGTERM, SIGINT, SIGHUP)
   , reportTimer_(traffic_)
