Fewer ranges a server in large deployments, standby for VMs that need not watch the store

Change: VMs beyond the first eight successors wait 1.6 s, and up to 10 s while they hear a coordinator that has lost the store; about 1,024 ranges in all are enough; a measurement counts for ten seconds; only VMs of a server's own domain try it.

--- a/libs/dispatch/include/dispatch/RangePlacement.h
+++ b/libs/dispatch/include/dispatch/RangePlacement.h
@@ -15,6 +15,9 @@
   // Ranges per server in the initial partition of the keys. They are assigned to the servers in
   // turn, because busy keys lie close to one another.
   unsigned rangesPerServer = 6;
+  // Number of ranges from which on busy keys are spread well enough, so that servers get fewer
+  // ranges each: every range costs a call per renewal.
+  unsigned sufficientRanges = 1024;
   // Time to wait for servers to register before the initial partition.
   base::Duration initialPartitionDelay = base::milliseconds(2500);
   // Interval between two rounds of planning moves.
@@ -60,6 +63,9 @@
   base::ServerId target;
 };
 
+// Returns the number of ranges per server in the initial partition.
+unsigned initialRangesPerServer(std::size_t servers, const PlacementSettings& settings);
+
 // Returns the initial partition of all keys among the servers; empty without servers.
 KeyRanges partitionKeys(const std::vector<PlacementServer>& servers, unsigned rangesPerServer);
 
--- a/libs/dispatch/include/dispatch/RelayedCopy.h
+++ b/libs/dispatch/include/dispatch/RelayedCopy.h
@@ -14,6 +14,13 @@
   // change that the relaying VM no longer sees must still be found within the time in which a
   // configuration has to be in force.
   base::Duration relayTimeout = base::milliseconds(700);
+  // The same for a VM on standby. It is longer than the takeover by another VM takes, so that a
+  // change of the coordinator doesn't make hundreds of VMs read everything.
+  base::Duration standbyTimeout = base::milliseconds(1600);
+  // Time without an announcement after which a VM on standby watches the store even though it hears
+  // the coordinator. A store that is down for all has nothing to watch, and each refused call
+  // costs.
+  base::Duration maxStandby = std::chrono::seconds(10);
   // Time allowed for the messages of a change to arrive before all objects are read.
   base::Duration changeArrivalTimeout = base::milliseconds(150);
   // Minimum interval between two reads while the copy is outdated.
@@ -46,6 +53,13 @@
   // The relaying VM announced that it watches the store and that its copy has this revision.
   void onRelayAnnouncement(std::uint64_t revision, base::TimePoint now);
 
+  // A coordinator that doesn't watch the store at the moment was heard.
+  void onCoordinatorHeard(base::TimePoint now);
+
+  // Sets whether this VM is on standby: other VMs would notice before it that no VM watches the
+  // store, and take over.
+  void setStandby(bool isStandby) { isStandby_ = isStandby; }
+
   // A part of a change has arrived. Returns false if the change isn't based on this copy; the part
   // must then not be applied.
   bool onChangePart(const ChangePart& part);
@@ -59,7 +73,10 @@
   std::uint64_t announcedRevision() const { return lag_.announced(); }
 
   // Returns whether this VM has to watch the store itself.
-  bool mustWatchStore(base::TimePoint now) const { return now >= relayTimeoutAt_; }
+  bool mustWatchStore(base::TimePoint now) const
+  {
+    return now >= (isStandby_ ? standbyTimeoutAt_ : relayTimeoutAt_);
+  }
 
   // Returns whether to read all objects now because the messages of an announced change didn't
   // arrive. If so, the read counts as started.
@@ -69,6 +86,10 @@
   RelaySettings settings_;
   // Time at which the relaying VM counts as unresponsive unless it announces again.
   base::TimePoint relayTimeoutAt_{};
+  base::TimePoint standbyTimeoutAt_{};
+  // Time until which hearing the coordinator extends the standby.
+  base::TimePoint standbyEndsAt_{};
+  bool isStandby_ = false;
   RevisionLag lag_;
   // Earliest time of the next read.
   base::TimePoint nextReadAt_{};
--- a/libs/dispatch/include/dispatch/TrialSchedule.h
+++ b/libs/dispatch/include/dispatch/TrialSchedule.h
@@ -27,6 +27,14 @@
     roundsToWait_ = kRoundsOnceMeasured;
   }
 
+  // Another entry VM that shares its measurements has sent a request to the server. `phase` is a
+  // random number from 0 to 1, so that one of these VMs is the first whose trial is due.
+  void onRequestOfOtherVm(double phase, base::TimePoint now)
+  {
+    intervalStart_ = now;
+    roundsToWait_ = kRoundsOnceMeasured * phase;
+  }
+
   bool isDue(std::size_t entryVms, base::TimePoint now) const
   {
     constexpr base::Duration kInterval = std::chrono::seconds(1);
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -345,7 +345,8 @@
   if (servers.empty()) {
     return;
   }
-  for (const KeyRange& range : partitionKeys(servers, settings_.placement.rangesPerServer)) {
+  for (const KeyRange& range :
+       partitionKeys(servers, initialRangesPerServer(servers.size(), settings_.placement))) {
     ranges_[service].push_back({ range, Phase::AwaitingWrite, now, {}, {}, {}, {} });
   }
   hasUnwrittenChanges_ = true;
@@ -517,8 +518,8 @@
 // are merged into one under a fencing token above both, for which the owner needs no release.
 void KeyCoordinator::mergeOwnedRanges(Ranges& ranges, std::size_t servers)
 {
-  const double limit =
-    kMergeFactor * static_cast<double>(servers) * settings_.placement.rangesPerServer;
+  const double limit = kMergeFactor * static_cast<double>(servers) *
+                       initialRangesPerServer(servers, settings_.placement);
   if (static_cast<double>(ranges.size()) < limit) {
     return;
   }
--- a/libs/dispatch/src/LoadAggregator.cpp
+++ b/libs/dispatch/src/LoadAggregator.cpp
@@ -10,8 +10,8 @@
 // Time after which a VM's report no longer counts: several reports have been lost, or the VM has
 // stopped.
 constexpr base::Duration kReportTimeout = base::milliseconds(1000);
-// Weight below which the samples of a server say nothing about its current speed.
-constexpr double kMinSamples = 1;
+// Weight below which the samples of a server no longer count: about ten seconds after a single one.
+constexpr double kMinSamples = 0.1;
 
 } // namespace
 
--- a/libs/dispatch/src/RangePlacement.cpp
+++ b/libs/dispatch/src/RangePlacement.cpp
@@ -121,6 +121,13 @@
   return server.work * (1 + wait + excess);
 }
 
+unsigned initialRangesPerServer(std::size_t servers, const PlacementSettings& settings)
+{
+  const std::size_t sufficient =
+    (settings.sufficientRanges + servers - 1) / std::max<std::size_t>(1, servers);
+  return std::clamp(static_cast<unsigned>(sufficient), 1U, settings.rangesPerServer);
+}
+
 KeyRanges partitionKeys(const std::vector<PlacementServer>& servers, unsigned rangesPerServer)
 {
   KeyRanges ranges;
--- a/libs/dispatch/src/RelayedCopy.cpp
+++ b/libs/dispatch/src/RelayedCopy.cpp
@@ -1,13 +1,23 @@
 #include <dispatch/RelayedCopy.h>
 
+#include <algorithm>
+
 namespace sycamore::dispatch {
 
 void RelayedCopy::onRelayAnnouncement(std::uint64_t revision, base::TimePoint now)
 {
   relayTimeoutAt_ = now + settings_.relayTimeout;
+  standbyTimeoutAt_ = now + settings_.standbyTimeout;
+  standbyEndsAt_ = now + settings_.maxStandby;
   lag_.advanceAnnounced(revision, now);
 }
 
+void RelayedCopy::onCoordinatorHeard(base::TimePoint now)
+{
+  standbyTimeoutAt_ =
+    std::max(standbyTimeoutAt_, std::min(standbyEndsAt_, now + settings_.standbyTimeout));
+}
+
 bool RelayedCopy::onChangePart(const ChangePart& part)
 {
   if (part.revision <= lag_.complete() || part.previous > lag_.complete()) {
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -197,3 +197,13 @@
   CHECK(busiest <= 14);
   fixture.checkSingleHolder();
 }
+
+// Guards against calls to servers that grow with more than the number of servers.
+TEST_CASE("many servers get fewer ranges each, and each gets at least one")
+{
+  const PlacementSettings settings;
+  CHECK(initialRangesPerServer(0, settings) == settings.rangesPerServer);
+  CHECK(initialRangesPerServer(18, settings) == settings.rangesPerServer);
+  CHECK(initialRangesPerServer(424, settings) == 3);
+  CHECK(initialRangesPerServer(5000, settings) == 1);
+}
--- a/libs/dispatch/tests/LoadAggregatorTest.cpp
+++ b/libs/dispatch/tests/LoadAggregatorTest.cpp
@@ -48,6 +48,16 @@
   CHECK(aggregator.summary(clock.now()).servers.empty());
 }
 
+// Guards against samples that are dropped because a server is used only now and then.
+TEST_CASE("a single measurement counts for some seconds")
+{
+  base::ManualClock clock;
+  LoadAggregator aggregator;
+  aggregator.onReport("vm", use(0, 1, 400), clock.now());
+  clock.advance(seconds(5));
+  CHECK(aggregator.summary(clock.now()).servers.at(kServer).work == milliseconds(400));
+}
+
 TEST_CASE("each report replaces the VM's previous one, and a silent VM's report expires")
 {
   base::ManualClock clock;
--- a/libs/dispatch/tests/RelayedCopyTest.cpp
+++ b/libs/dispatch/tests/RelayedCopyTest.cpp
@@ -93,3 +93,46 @@
   copy.onRead(20);
   CHECK_FALSE(copy.onChangePart({ 10, 14 }));
 }
+
+// Guards against hundreds of VMs that all read the store while the coordinator's role changes.
+TEST_CASE("a VM on standby leaves the time of a takeover before it watches the store itself")
+{
+  base::ManualClock clock;
+  RelayedCopy copy({});
+  copy.setStandby(true);
+  CHECK(copy.mustWatchStore(clock.now()));
+  copy.onRelayAnnouncement(10, clock.now());
+  clock.advance(milliseconds(1599));
+  CHECK_FALSE(copy.mustWatchStore(clock.now()));
+  clock.advance(milliseconds(1));
+  CHECK(copy.mustWatchStore(clock.now()));
+}
+
+// Guards against refused calls of all VMs to a store that is down, of which only a few are needed.
+TEST_CASE("a VM on standby waits while it hears the coordinator, but not forever")
+{
+  base::ManualClock clock;
+  RelayedCopy copy({});
+  copy.setStandby(true);
+  copy.onRelayAnnouncement(10, clock.now());
+  for (int i = 0; i < 49; ++i) {
+    clock.advance(milliseconds(200));
+    copy.onCoordinatorHeard(clock.now());
+    CHECK_FALSE(copy.mustWatchStore(clock.now()));
+  }
+  clock.advance(milliseconds(200));
+  copy.onCoordinatorHeard(clock.now());
+  CHECK(copy.mustWatchStore(clock.now()));
+  copy.onRelayAnnouncement(10, clock.now());
+  CHECK_FALSE(copy.mustWatchStore(clock.now()));
+}
+
+TEST_CASE("a VM that isn't on standby doesn't wait for a coordinator that doesn't watch")
+{
+  base::ManualClock clock;
+  RelayedCopy copy({});
+  copy.onRelayAnnouncement(10, clock.now());
+  clock.advance(milliseconds(700));
+  copy.onCoordinatorHeard(clock.now());
+  CHECK(copy.mustWatchStore(clock.now()));
+}
--- a/libs/dispatch/tests/TrialScheduleTest.cpp
+++ b/libs/dispatch/tests/TrialScheduleTest.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include <random>
 #include <vector>
 
@@ -49,3 +52,22 @@
   clock.advance(seconds(1));
   CHECK(turn.isDue(10, clock.now()));
 }
+
+// Guards against a server that no VM tries again once all have learned that it was slow.
+TEST_CASE("after a request of another VM, a trial of one of the VMs is due within some seconds")
+{
+  constexpr unsigned kVms = 40;
+  base::ManualClock clock;
+  std::vector<TrialSchedule> schedules(kVms, TrialSchedule(0.5, clock.now()));
+  for (unsigned i = 0; i < kVms; ++i) {
+    schedules[i].onRequestOfOtherVm((i + 0.5) / kVms, clock.now());
+  }
+  const auto due = [&] {
+    return std::ranges::count_if(schedules,
+                                 [&](const auto& s) { return s.isDue(kVms, clock.now()); });
+  };
+  CHECK(due() == 0);
+  clock.advance(std::chrono::seconds(10));
+  CHECK(due() >= 1);
+  CHECK(due() <= 2);
+}
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -82,6 +82,7 @@
   void sendLoadSummary(base::TimePoint now);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
+  bool isStandby() const;
   void sendHeartbeats(base::TimePoint now);
   bool isHandingOver() const;
   void beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -51,8 +51,8 @@
   void start();
 
   // Starts watches and reads that are due. `isRelay` states whether this VM relays changes to the
-  // others, in which case it always watches.
-  void tick(bool isRelay, base::TimePoint now);
+  // others, in which case it always watches. `isStandby`: see RelayedCopy::setStandby().
+  void tick(bool isRelay, bool isStandby, base::TimePoint now);
 
   // Returns whether the copy follows the store by its own watch.
   bool isWatching() const { return isWatching_ && storeReachable_; }
@@ -61,6 +61,8 @@
 
   // The relaying VM announced that it watches and that its copy last changed at this revision.
   void onRelayAnnouncement(std::uint64_t revision, base::TimePoint now);
+  // A coordinator that doesn't watch at the moment was heard.
+  void onCoordinatorHeard(base::TimePoint now) { relayedCopy_.onCoordinatorHeard(now); }
   // A part of a change arrived from the relaying VM.
   void onChangePart(const ObjectChange& change);
 
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -99,7 +99,7 @@
     pool->load().onSharedLoad(others, measured ? std::optional(load.work) : std::nullopt, now);
     if (measured) {
       // Another VM's request shows as much of the server as a trial would.
-      pool->trialSchedule().onRequestSent(now);
+      pool->trialSchedule().onRequestOfOtherVm(random(), now);
     }
   }
 }
@@ -307,7 +307,8 @@
       isSameDomain ? random() * 0.05 : kCrossDomainPenalty + random() * 0.05;
     const auto penalty =
       std::chrono::duration_cast<base::Duration>(pool->load().work() * preference);
-    const bool trial = pool->trialSchedule().isDue(view_->entryVms, now);
+    // The VMs of the other domains try the servers there.
+    const bool trial = isSameDomain && pool->trialSchedule().isDue(view_->entryVms, now);
     candidates.push_back({ pool, expected, trial ? base::Duration::zero() : expected + penalty });
   }
   std::ranges::sort(candidates, {}, &Candidate::cost);
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -23,6 +23,10 @@
 constexpr base::Duration kReportInterval = base::milliseconds(500);
 // Interval between two summaries of the load in this VM's failure domain.
 constexpr base::Duration kLoadSummaryInterval = base::milliseconds(200);
+// Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
+// which on others are.
+constexpr unsigned kWatchfulSuccessors = 8;
+constexpr std::size_t kMinVmsWithStandby = 24;
 constexpr std::chrono::milliseconds kRegisterRetryDelay{ 1000 };
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
@@ -460,6 +464,10 @@
     for (std::size_t i = 0; i < mirrors_.size(); ++i) {
       mirrors_[i]->onRelayAnnouncement(message.lastChangeRevisions[i], clockNow());
     }
+    return;
+  }
+  for (ObjectMirror* mirror : mirrors_) {
+    mirror->onCoordinatorHeard(clockNow());
   }
 }
 
@@ -532,7 +540,7 @@
     coordinatorRole_.tryTakeover(view_.ownership ? view_.ownership->epoch : 0);
   }
   for (ObjectMirror* mirror : mirrors_) {
-    mirror->tick(coordinatorRole_.active(), now);
+    mirror->tick(coordinatorRole_.active(), isStandby(), now);
   }
   if (coordinatorRole_.active() && now >= nextHeartbeatAt_) {
     sendHeartbeats(now);
@@ -557,6 +565,12 @@
   });
 }
 
+// In a large deployment, the first successors notice for all that the store isn't watched.
+bool EntryControl::isStandby() const
+{
+  return view_.entryVms > kMinVmsWithStandby && successionRank_ >= kWatchfulSuccessors;
+}
+
 void EntryControl::sendHeartbeats(base::TimePoint now)
 {
   if (peersListedEpoch_ != coordinatorRole_.coordinator()->record().epoch) {
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -45,9 +45,10 @@
   list("");
 }
 
-void ObjectMirror::tick(bool isRelay, base::TimePoint now)
+void ObjectMirror::tick(bool isRelay, bool isStandby, base::TimePoint now)
 {
   isRelay_ = isRelay;
+  relayedCopy_.setStandby(isStandby);
   if (callPending_) {
     return;
   }
