--- a/libs/dispatch/include/dispatch/OwnershipCopy.h
+++ b/libs/dispatch/include/dispatch/OwnershipCopy.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace sycamore::dispatch {
 
@@ -21,8 +22,14 @@
   // The coordinator after the change, and its epoch.
   Coordinator coordinator;
   std::uint64_t epoch = 0;
+  // Number of this part and of all parts. The ranges of one change may be sent in several parts.
+  unsigned part = 0;
+  unsigned parts = 1;
 };
 
+// Splits a delta into parts with at most this number of ranges each.
+std::vector<OwnershipDelta> splitDelta(const OwnershipDelta& delta, std::size_t rangesPerPart);
+
 struct OwnershipCopySettings
 {
   // Time allowed for a delta to arrive before a newer revision is read from the store.
@@ -54,7 +61,8 @@
   // The record was read from the store. Returns false if the copy is already as new.
   bool onRecordRead(OwnershipRecord record, std::uint64_t revision);
 
-  // Applies a delta. Returns false if the delta isn't based on the copy's revision.
+  // Applies a delta, or keeps its part until all have arrived. Returns whether the copy has
+  // changed: false if parts are missing or the delta isn't based on the copy's revision.
   bool applyDelta(const OwnershipDelta& delta, base::TimePoint now);
 
   // The coordinator announced that the record has this revision.
@@ -66,6 +74,9 @@
 private:
   OwnershipCopySettings settings_;
   std::shared_ptr<const OwnershipRecord> record_;
+  // Parts that have arrived of the change to revision `partsRevision_`, by number.
+  std::map<unsigned, OwnershipDelta> receivedParts_;
+  std::uint64_t partsRevision_ = 0;
   RevisionLag lag_;
   base::TimePoint lastAnnouncementAt_;
   base::TimePoint lastReadAt_{};
--- a/libs/dispatch/src/OwnershipCopy.cpp
+++ b/libs/dispatch/src/OwnershipCopy.cpp
@@ -26,10 +26,21 @@
   if (!record_ || delta.previous != lag_.complete()) {
     return false;
   }
+  if (partsRevision_ != delta.revision) {
+    partsRevision_ = delta.revision;
+    receivedParts_.clear();
+  }
+  receivedParts_[delta.part] = delta;
+  if (receivedParts_.size() < delta.parts) {
+    return false;
+  }
   auto changed = std::make_shared<OwnershipRecord>(*record_);
-  for (const auto& [service, ranges] : delta.changes) {
-    replaceRanges(changed->services[service], ranges);
+  for (const auto& [number, part] : receivedParts_) {
+    for (const auto& [service, ranges] : part.changes) {
+      replaceRanges(changed->services[service], ranges);
+    }
   }
+  receivedParts_.clear();
   changed->coordinator = delta.coordinator;
   changed->epoch = delta.epoch;
   record_ = std::move(changed);
@@ -55,6 +66,29 @@
   return true;
 }
 
+std::vector<OwnershipDelta> splitDelta(const OwnershipDelta& delta, std::size_t rangesPerPart)
+{
+  OwnershipDelta empty = delta;
+  empty.changes.clear();
+  std::vector<OwnershipDelta> parts{ empty };
+  std::size_t ranges = 0;
+  for (const auto& [service, changed] : delta.changes) {
+    for (const KeyRange& range : changed) {
+      if (ranges == rangesPerPart) {
+        parts.push_back(empty);
+        ranges = 0;
+      }
+      parts.back().changes[service].push_back(range);
+      ++ranges;
+    }
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].part = static_cast<unsigned>(i);
+    parts[i].parts = static_cast<unsigned>(parts.size());
+  }
+  return parts;
+}
+
 void replaceRanges(KeyRanges& ranges, const KeyRanges& changes)
 {
   for (const KeyRange& change : changes) {
--- a/libs/dispatch/tests/OwnershipCopyTest.cpp
+++ b/libs/dispatch/tests/OwnershipCopyTest.cpp
@@ -108,3 +108,35 @@
   CHECK(copy.onRecordRead(completeRecord(), 10));
   CHECK_FALSE(copy.onRecordRead(completeRecord(), 10));
 }
+
+// Guards against a large change, such as the initial partition, that is lost with its datagram, and
+// against a copy with only a part of a change.
+TEST_CASE("a delta in parts is applied once all parts have arrived, in any order and repeated")
+{
+  base::ManualClock clock;
+  OwnershipDelta delta;
+  delta.previous = 3;
+  delta.revision = 4;
+  const base::ServiceId service("s");
+  for (KeyNumber i = 0; i < 10; ++i) {
+    delta.changes[service].push_back({ i, i, base::ServerId("owner-" + std::to_string(i)), 1, 7 });
+  }
+  const std::vector<OwnershipDelta> parts = splitDelta(delta, 4);
+  REQUIRE(parts.size() == 3);
+  OwnershipCopy copy({}, clock.now());
+  copy.onRecordRead({}, 3);
+  CHECK_FALSE(copy.applyDelta(parts[2], clock.now()));
+  CHECK_FALSE(copy.applyDelta(parts[0], clock.now()));
+  CHECK_FALSE(copy.applyDelta(parts[0], clock.now()));
+  CHECK(copy.record()->services.empty());
+  CHECK(copy.isBehind());
+  CHECK(copy.applyDelta(parts[1], clock.now()));
+  CHECK(copy.record()->services.at(service) == delta.changes.at(service));
+  CHECK(copy.revision() == 4);
+  CHECK_FALSE(copy.applyDelta(parts[1], clock.now()));
+}
+
+TEST_CASE("a delta without ranges, such as a change of the coordinator, is one part")
+{
+  CHECK(splitDelta({}, 4).size() == 1);
+}
--- a/libs/entry/include/entry/StoreClient.h
+++ b/libs/entry/include/entry/StoreClient.h
@@ -44,7 +44,10 @@
 
   void setEndpoint(const dispatch::Endpoint& store) { store_ = store; }
 
-  void list(wire::Kind kind, const std::string& after, Finished finished);
+  void list(wire::Kind kind,
+            const std::string& after,
+            wire::ReadConsistency reading,
+            Finished finished);
   void watch(wire::Kind kind,
              std::uint64_t revision,
              std::chrono::milliseconds wait,
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -21,6 +21,8 @@
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
 constexpr base::Duration kReportInterval = base::milliseconds(500);
+// Number of ranges whose change fits into the payload of an Ethernet frame.
+constexpr std::size_t kRangesPerMessage = 25;
 // Interval between two summaries of the load in this VM's failure domain.
 constexpr base::Duration kLoadSummaryInterval = base::milliseconds(200);
 // Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
@@ -204,11 +206,13 @@
   });
 }
 
-// A new coordinator needs the addresses of all entry VMs, and every VM needs to know how many VMs
-// share the limits.
+// A new coordinator needs the addresses of all entry VMs. Every VM needs to know how many VMs share
+// the limits, until the coordinator tells it; for that, an outdated list is good enough.
 void EntryControl::listPeers(const std::string& after)
 {
-  store_.list(wire::Kind::EntryVms, after, [this](const StoreAnswer& answer) {
+  const auto reading = coordinatorRole_.active() ? wire::ReadConsistency::Current
+                                                 : wire::ReadConsistency::StaleAllowed;
+  store_.list(wire::Kind::EntryVms, after, reading, [this](const StoreAnswer& answer) {
     if (answer.outcome != StoreOutcome::Done) {
       return;
     }
@@ -396,7 +400,9 @@
                                      const dispatch::OwnershipDelta& delta)
 {
   adoptRecord(record, delta.revision);
-  sendToAll(OwnershipDeltaMessage{ delta });
+  for (const dispatch::OwnershipDelta& part : dispatch::splitDelta(delta, kRangesPerMessage)) {
+    sendToAll(OwnershipDeltaMessage{ part });
+  }
 }
 
 void EntryControl::onPeerMessage(const PeerMessage& message, const std::string& from)
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kMaxRetryDelay{ 800 };
 // Duration of a watch for changes that are known to exist.
 constexpr std::chrono::milliseconds kCatchUpWatchDuration{ 100 };
+// Delay between a list and the first watch of a VM that doesn't relay: the relaying VM is usually
+// heard before, so that hundreds of watches aren't needed.
+constexpr std::chrono::milliseconds kFollowerWatchDelay{ 800 };
 // Interval between two checks whether the store may be called again.
 constexpr std::chrono::milliseconds kProbeInterval{ 100 };
 // Delay after which the revision of a watch without events is used. The store's watches may miss
@@ -123,7 +126,9 @@
     listedObjects_.clear();
     listRevision_ = 0;
   }
-  store_.list(settings_.kind, after, [this](StoreAnswer answer) { onList(answer); });
+  store_.list(settings_.kind, after, wire::ReadConsistency::Current, [this](StoreAnswer answer) {
+    onList(answer);
+  });
 }
 
 void ObjectMirror::onList(const StoreAnswer& answer)
@@ -155,7 +160,7 @@
   }
   cursor_.onListed(listRevision_);
   isWatching_ = true;
-  continueWatching(settings_.settleDelay);
+  continueWatching(isRelay_ ? settings_.settleDelay : kFollowerWatchDelay);
 }
 
 void ObjectMirror::adoptList()
@@ -261,7 +266,7 @@
   timer_.expires_after(delay);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
-      watch();
+      continueWatching(std::chrono::milliseconds(0));
     }
   });
 }
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -113,7 +113,9 @@
                        coordinator.vm.value(),
                        coordinator.run,
                        coordinator.address,
-                       message.delta.epoch });
+                       message.delta.epoch,
+                       message.delta.part,
+                       message.delta.parts });
 }
 
 Json toJson(const ObjectChangeMessage& message)
@@ -238,6 +240,8 @@
                                 json.at(5).get<std::uint64_t>(),
                                 json.at(6).get<std::string>() };
   message.delta.epoch = json.at(7).get<std::uint64_t>();
+  message.delta.part = json.at(8).get<unsigned>();
+  message.delta.parts = json.at(9).get<unsigned>();
   return message;
 }
 
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -44,10 +44,13 @@
 {
 }
 
-void StoreClient::list(wire::Kind kind, const std::string& after, Finished finished)
+void StoreClient::list(wire::Kind kind,
+                       const std::string& after,
+                       wire::ReadConsistency reading,
+                       Finished finished)
 {
   ++counts_.lists;
-  call("GET", wire::listPath(kind, after), "", kCallTimeout, std::move(finished));
+  call("GET", wire::listPath(kind, after, reading), "", kCallTimeout, std::move(finished));
 }
 
 void StoreClient::watch(wire::Kind kind,
