--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -4,6 +4,7 @@
 #include <entry/ControlStatus.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
+#include <entry/LoadSharing.h>
 #include <entry/ObjectMirror.h>
 #include <entry/PeerLink.h>
 
@@ -30,7 +31,6 @@
 public:
   using Publish = std::function<void(std::shared_ptr<const dispatch::RoutingView>)>;
   using RemoteBreakListener = std::function<void(const ConnectionBreak&)>;
-  using SharedLoadListener = std::function<void(dispatch::LoadSummary)>;
 
   // `run` is a random number that identifies this run of the process.
   EntryControl(asio::io_context& context,
@@ -39,7 +39,7 @@
                std::uint64_t run,
                Publish publish,
                RemoteBreakListener remoteBreakListener,
-               SharedLoadListener sharedLoadListener);
+               LoadSharing::SummaryListener sharedLoadListener);
 
   void start();
 
@@ -78,8 +78,6 @@
   void onPeerMessage(const PeerMessage& message, const std::string& from);
   void onHeartbeat(const HeartbeatMessage& message, const std::string& from);
   void onForward(const ForwardMessage& message);
-  void reportServerUse(const std::map<base::ServerId, dispatch::ServerUse>& use);
-  void sendLoadSummary(base::TimePoint now);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
   bool isStandby() const;
@@ -98,12 +96,12 @@
   EventLog& log_;
   Publish publish_;
   RemoteBreakListener remoteBreakListener_;
-  SharedLoadListener sharedLoadListener_;
   dispatch::Coordinator self_;
   ByteCounts bytes_;
   CallClient calls_;
   StoreClient store_;
   PeerLink peerLink_;
+  LoadSharing loadSharing_;
   CoordinatorRole coordinatorRole_;
   dispatch::CoordinatorElection election_;
   ObjectMirror configurationMirror_;
@@ -118,11 +116,6 @@
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
   dispatch::PeerTable peerTable_;
-  // Used while this VM aggregates the load for its failure domain.
-  dispatch::LoadAggregator loadAggregator_;
-  // IP address of the VM that aggregates the load for this domain; empty if none is known.
-  std::string loadAggregatorAddress_;
-  base::TimePoint nextLoadSummaryAt_{};
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
   std::vector<ConnectionBreak> pendingConnectionBreaks_;
--- a/libs/entry/include/entry/PeerLink.h
+++ b/libs/entry/include/entry/PeerLink.h
@@ -39,6 +39,8 @@
 
   // Sends to another entry VM, at the same port as this VM's.
   void send(const PeerAddress& to, const PeerMessage& message);
+  // Sends the same message to several entry VMs.
+  void send(const std::vector<PeerAddress>& to, const PeerMessage& message);
   // Sends a message to all VMs of a plan, to some of them by way of VMs that forward it.
   void send(const dispatch::FanoutPlan& plan, const PeerMessage& message);
   // Passes the enclosed message on to its receivers, which are in this VM's domain.
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -23,8 +23,6 @@
 constexpr base::Duration kReportInterval = base::milliseconds(500);
 // Number of ranges whose change fits into the payload of an Ethernet frame.
 constexpr std::size_t kRangesPerMessage = 25;
-// Interval between two summaries of the load in this VM's failure domain.
-constexpr base::Duration kLoadSummaryInterval = base::milliseconds(200);
 // Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
 // which on others are.
 constexpr unsigned kWatchfulSuccessors = 8;
@@ -53,12 +51,11 @@
                            std::uint64_t run,
                            Publish publish,
                            RemoteBreakListener remoteBreakListener,
-                           SharedLoadListener sharedLoadListener)
+                           LoadSharing::SummaryListener sharedLoadListener)
   : settings_(settings)
   , log_(log)
   , publish_(std::move(publish))
   , remoteBreakListener_(std::move(remoteBreakListener))
-  , sharedLoadListener_(std::move(sharedLoadListener))
   , self_{ settings.vm, run, settings.ip }
   , calls_(context, BufferQuota(settings.memoryBytes / kControlMemoryShare))
   , store_(calls_, settings.store, bytes_)
@@ -67,6 +64,7 @@
       { settings.ip, settings.peerPort },
       bytes_,
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
+  , loadSharing_(peerLink_, settings.ip, std::move(sharedLoadListener))
   , coordinatorRole_(
       calls_,
       store_,
@@ -122,7 +120,7 @@
 
 void EntryControl::recordTraffic(TrafficReport report)
 {
-  reportServerUse(report.use);
+  loadSharing_.reportUse(report.use);
   if (coordinatorRole_.active()) {
     recordForCoordinator(report.keys, report.work);
     return;
@@ -420,11 +418,9 @@
   } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
     onForward(*forward);
   } else if (const auto* use = std::get_if<ServerUseMessage>(&message)) {
-    loadAggregator_.onReport(from, use->servers, clockNow());
+    loadSharing_.onUseMessage(*use, from);
   } else if (const auto* load = std::get_if<LoadSummaryMessage>(&message)) {
-    if (from == loadAggregatorAddress_) {
-      sharedLoadListener_(load->summary);
-    }
+    loadSharing_.onSummaryMessage(*load, from);
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
     // Only the direct predecessor knows when all coordinators before it stop granting.
     if (coordinatorRole_.active() &&
@@ -465,7 +461,7 @@
     remoteBreakListener_(connectionBreak);
   }
   setEntryVms(message.entryVms);
-  loadAggregatorAddress_ = message.loadAggregator;
+  loadSharing_.setAggregator(message.loadAggregator);
   if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
     for (std::size_t i = 0; i < mirrors_.size(); ++i) {
       mirrors_[i]->onRelayAnnouncement(message.lastChangeRevisions[i], clockNow());
@@ -499,28 +495,6 @@
   }
 }
 
-void EntryControl::reportServerUse(const std::map<base::ServerId, dispatch::ServerUse>& use)
-{
-  if (loadAggregatorAddress_ == settings_.ip) {
-    loadAggregator_.onReport(settings_.ip, use, clockNow());
-  } else if (!loadAggregatorAddress_.empty()) {
-    peerLink_.send({ loadAggregatorAddress_, true }, ServerUseMessage{ use });
-  }
-}
-
-// Sends the summary to the VMs that report to this one. Without reporters, another VM aggregates.
-void EntryControl::sendLoadSummary(base::TimePoint now)
-{
-  const LoadSummaryMessage message{ loadAggregator_.summary(now) };
-  for (const std::string& reporter : loadAggregator_.reporters()) {
-    if (reporter == settings_.ip) {
-      sharedLoadListener_(message.summary);
-    } else {
-      peerLink_.send({ reporter, true }, message);
-    }
-  }
-}
-
 void EntryControl::onReport(const ReportMessage& message, const std::string& from)
 {
   if (!coordinatorRole_.active()) {
@@ -559,10 +533,7 @@
     sendReport();
     nextReportAt_ = now + kReportInterval;
   }
-  if (now >= nextLoadSummaryAt_) {
-    sendLoadSummary(now);
-    nextLoadSummaryAt_ = now + kLoadSummaryInterval;
-  }
+  loadSharing_.tick(now);
   tickTimer_.expires_after(kTickInterval);
   tickTimer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -612,7 +583,7 @@
       loadAggregators[peer.domain] = peerTable_.loadAggregator(peer.domain, now);
     }
   }
-  loadAggregatorAddress_ = loadAggregators[settings_.domain];
+  loadSharing_.setAggregator(loadAggregators[settings_.domain]);
   for (const auto& [vm, peer] : peerTable_.peers()) {
     message.loadAggregator = loadAggregators[peer.domain];
     const auto rank = ranks.find(vm);
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -20,6 +20,14 @@
   sendBytes(to, kindNameOf(message), encodePeerMessage(message));
 }
 
+void PeerLink::send(const std::vector<PeerAddress>& to, const PeerMessage& message)
+{
+  const std::string bytes = encodePeerMessage(message);
+  for (const PeerAddress& peer : to) {
+    sendBytes(peer, kindNameOf(message), bytes);
+  }
+}
+
 void PeerLink::send(const dispatch::FanoutPlan& plan, const PeerMessage& message)
 {
   const char* const kind = kindNameOf(message);
