--- a/libs/dispatch/include/dispatch/LoadAggregator.h
+++ b/libs/dispatch/include/dispatch/LoadAggregator.h
@@ -11,6 +11,10 @@
 
 namespace sycamore::dispatch {
 
+// Number of VMs in a failure domain from which on they share their load. Fewer VMs each see most of
+// a server's load in its own answers, which are more recent than a summary.
+inline constexpr std::size_t kMinSharingVms = 12;
+
 // What one entry VM knows of its own use of a server.
 struct ServerUse
 {
--- a/libs/dispatch/include/dispatch/RangePlacement.h
+++ b/libs/dispatch/include/dispatch/RangePlacement.h
@@ -73,6 +73,12 @@
 // without servers.
 PlacementServer* leastLoaded(std::vector<PlacementServer>& servers, double rate, std::size_t keys);
 
+// Updates the load of the servers for a move of keys with this rate away from `source`.
+void applyMove(std::vector<PlacementServer>& servers,
+               const base::ServerId& source,
+               const PlannedMove& move,
+               double rate);
+
 // Returns the move that saves callers the most time; nothing if no move saves enough. A server
 // without keys gets some in any case.
 std::optional<PlannedMove> planMove(const std::vector<PlacementServer>& servers,
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -16,6 +16,9 @@
 constexpr base::Duration kProbeInterval = base::milliseconds(1000);
 // Number of consecutive unanswered calls from which on a server can be considered lost.
 constexpr unsigned kMinUnansweredCalls = 2;
+// Maximum number of ranges that get a new owner in one tick: each is compared with all servers, and
+// a coordinator that computes for longer misses its heartbeats.
+constexpr std::size_t kMaxAssignmentsPerTick = 64;
 // Adjacent ranges are merged once there are this many times the ranges of the initial partition.
 constexpr double kMergeFactor = 1.5;
 
@@ -432,10 +435,14 @@
                                    base::TimePoint now)
 {
   std::vector<PlacementServer> servers;
+  std::size_t assigned = 0;
   for (ManagedRange& managed : ranges) {
     if (managed.phase != Phase::Unowned) {
       continue;
     }
+    if (++assigned > kMaxAssignmentsPerTick) {
+      return;
+    }
     if (servers.empty()) {
       servers = placementServers(service, now);
     }
@@ -483,8 +490,11 @@
     if (!move) {
       return;
     }
+    applyMove(servers,
+              findRange(movable, move->from)->owner,
+              *move,
+              rates_[service].rate(move->from, move->to));
     startMove(ranges, *move);
-    servers = placementServers(service, now);
   }
 }
 
--- a/libs/dispatch/src/RangePlacement.cpp
+++ b/libs/dispatch/src/RangePlacement.cpp
@@ -144,19 +144,37 @@
 PlacementServer* leastLoaded(std::vector<PlacementServer>& servers, double rate, std::size_t keys)
 {
   PlacementServer* best = nullptr;
-  const auto cost = [&](const PlacementServer& server) {
-    // The small term spreads keys that currently get no requests, too.
-    return totalTime(server, server.rate + rate) - totalTime(server, server.rate) +
-           1e-6 * static_cast<double>(server.keys + keys);
-  };
+  double bestCost = 0;
   for (PlacementServer& server : servers) {
-    if (best == nullptr || cost(server) < cost(*best)) {
+    // The small term spreads keys that currently get no requests, too.
+    const double cost = totalTime(server, server.rate + rate) - totalTime(server, server.rate) +
+                        1e-6 * static_cast<double>(server.keys + keys);
+    if (best == nullptr || cost < bestCost) {
       best = &server;
+      bestCost = cost;
     }
   }
   return best;
 }
 
+void applyMove(std::vector<PlacementServer>& servers,
+               const base::ServerId& source,
+               const PlannedMove& move,
+               double rate)
+{
+  const std::size_t keys = static_cast<std::size_t>(move.to - move.from) + 1;
+  for (PlacementServer& server : servers) {
+    if (server.id == source) {
+      server.rate = std::max(0.0, server.rate - rate);
+      server.keys -= std::min(server.keys, keys);
+    } else if (server.id == move.target) {
+      server.rate += rate;
+      server.keys += keys;
+      ++server.ranges;
+    }
+  }
+}
+
 std::optional<PlannedMove> planMove(const std::vector<PlacementServer>& servers,
                                     const KeyRanges& ranges,
                                     const KeyRates& rates,
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace sycamore;
 using namespace sycamore::dispatch;
 using std::chrono::milliseconds;
@@ -207,3 +209,45 @@
   CHECK(initialRangesPerServer(424, settings) == 3);
   CHECK(initialRangesPerServer(5000, settings) == 1);
 }
+
+// Guards against a coordinator that computes for so long after the loss of a failure domain that
+// other VMs take over, which starts the same computation again.
+TEST_CASE("the keys of many servers lost at once have new owners soon after their grants expire")
+{
+  constexpr unsigned kServers = 120;
+  CoordinatorFixture fixture(kServers);
+  fixture.run(std::chrono::seconds(4));
+  std::vector<base::ServerId> lost;
+  for (const KeyRange& range : fixture.ranges()) {
+    if (lost.size() < kServers / 4 && std::ranges::count(lost, range.owner) == 0) {
+      lost.push_back(range.owner);
+    }
+  }
+  for (const base::ServerId& server : lost) {
+    fixture.disconnect(server);
+  }
+  fixture.run(std::chrono::seconds(6));
+  fixture.checkSingleHolder();
+  for (const KeyRange& range : fixture.ranges()) {
+    CHECK(std::ranges::count(lost, range.owner) == 0);
+  }
+}
+
+TEST_CASE("a planned move changes the load of its source and its target")
+{
+  std::vector<PlacementServer> servers(3);
+  const char* const names[] = { "a", "b", "c" };
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    servers[i].id = base::ServerId(names[i]);
+    servers[i].rate = 10;
+    servers[i].keys = 100;
+    servers[i].ranges = 2;
+  }
+  applyMove(servers, base::ServerId("a"), { 0, 9, base::ServerId("c") }, 4);
+  CHECK(servers[0].rate == 6);
+  CHECK(servers[0].keys == 90);
+  CHECK(servers[1].rate == 10);
+  CHECK(servers[2].rate == 14);
+  CHECK(servers[2].keys == 110);
+  CHECK(servers[2].ranges == 3);
+}
--- a/libs/entry/src/LoadSharing.cpp
+++ b/libs/entry/src/LoadSharing.cpp
@@ -45,6 +45,9 @@
   }
   nextSummaryAt_ = now + kSummaryInterval;
   const LoadSummaryMessage message{ aggregator_.summary(now) };
+  if (message.summary.vms < dispatch::kMinSharingVms) {
+    return;
+  }
   std::vector<PeerAddress> receivers;
   for (const std::string& reporter : aggregator_.reporters()) {
     if (reporter == ownIp_) {
