Send only the needed fields of a server's entry, refuse truthfully when nothing was written

A relayed entry was the store's whole object (some 450 bytes), forwarded to each VM of a domain. A connection that the server had reset before the request was written ended the request as possibly run (502); it now counts as not sent, and is tried again on a new connection.

--- a/libs/entry/include/entry/RequestHandler.h
+++ b/libs/entry/include/entry/RequestHandler.h
@@ -34,7 +34,7 @@
   void onResult(ExchangeResult result);
   void onAnswered(ExchangeResult result);
   void onNotRun(const ServerAnswer& answer);
-  void onNotSent();
+  void onNotSent(bool wasReused);
   void onOutcomeUnknown(const char* reason);
   void endExchange(bool reusable);
   bool mayResend(base::TimePoint now) const;
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -18,7 +18,8 @@
 enum class ExchangeEnd
 {
   Answered,
-  // No byte of the request was sent, so that the server can't have run it.
+  // No byte of the request was sent, so that the server can't have run it: the connection wasn't
+  // established, or had ended before the request was written.
   NotSent,
   // The connection broke after the request was sent.
   Broken,
@@ -32,8 +33,9 @@
 {
   ExchangeEnd end = ExchangeEnd::NotSent;
   ServerAnswer answer;
-  // Whether the connection can carry another request.
+  // Whether the connection can carry another request, and whether it had carried one before.
   bool reusable = false;
+  bool reused = false;
   // Bytes of the request and of all that was received.
   std::size_t bytes = 0;
   // Memory that the answer takes.
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -326,7 +326,13 @@
   if (!coordinatorRole_.active()) {
     return;
   }
-  for (const ObjectChange& part : splitChange(change)) {
+  ObjectChange essential = change;
+  if (change.kind == wire::Kind::Servers) {
+    for (wire::WatchEvent& event : essential.events) {
+      event.object = wire::essentialServerEntry(event.object);
+    }
+  }
+  for (const ObjectChange& part : splitChange(essential)) {
     sendToAll(ObjectChangeMessage{ part });
   }
 }
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -205,9 +205,11 @@
       }
       return;
     case ExchangeEnd::NotSent:
-      load.onFailure(now);
       --sends_;
-      onNotSent();
+      if (!result.reused) {
+        load.onFailure(now);
+      }
+      onNotSent(result.reused);
       return;
     case ExchangeEnd::Broken:
       load.onFailure(now);
@@ -294,11 +296,18 @@
   refuse("the server refused", dispatcher_.admission_.retryDelay(excess, dispatcher_.random()));
 }
 
-void RequestHandler::onNotSent()
+// `wasReused`: the connection had been idle and may have ended without notice; the server itself
+// may be well.
+void RequestHandler::onNotSent(bool wasReused)
 {
   ++failedConnections_;
   const base::TimePoint now = clockNow();
   const bool isKeyed = dispatcher_.isKeyed(service_);
+  if (isKeyed && wasReused && failedConnections_ <= kMaxFailedConnections &&
+      now < answerDeadline_) {
+    sendAfter(kResendDelay);
+    return;
+  }
   if (!isKeyed && failedConnections_ <= kMaxFailedConnections && now < answerDeadline_) {
     send();
     return;
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -120,9 +120,18 @@
     std::exchange(sendListener_, nullptr)();
   }
   asio::async_write(
-    socket_, asio::buffer(out_), [self = shared_from_this()](const error_code& error, std::size_t) {
-      // A failed write is followed by a failed read, after any bytes that can still be read.
+    socket_,
+    asio::buffer(out_),
+    [self = shared_from_this(), exchange = exchanges_](const error_code& error, std::size_t count) {
+      if (exchange != self->exchanges_) {
+        return;
+      }
       self->requestWritten_ = !error;
+      if (error && count == 0) {
+        self->finish(ExchangeEnd::NotSent);
+      }
+      // Otherwise, a failed write is followed by a failed read, after any bytes that can still be
+      // read.
     });
   if (!readPending_) {
     read();
@@ -223,6 +232,7 @@
   ExchangeResult result;
   result.end = end;
   result.bytes = exchangedBytes_;
+  result.reused = exchanges_ > 1;
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.memory = std::move(memory_);
--- a/libs/entry/tests/DispatcherTest.cpp
+++ b/libs/entry/tests/DispatcherTest.cpp
@@ -370,3 +370,30 @@
   CHECK(answer->status == 503);
   CHECK(headerOf(*answer, "Retry-After") != "");
 }
+
+// Guards against failing a request that was written to a connection which the server had just
+// reset.
+TEST_CASE("a request that couldn't be written to a kept connection is sent on a new one")
+{
+  for (const bool keyed : { false, true }) {
+    DispatcherFixture fixture;
+    const auto react = [](const std::string& request) {
+      return FakeServer::Reaction{ validAnswer(requestIdOf(request), "ok") };
+    };
+    FakeServer& server = keyed ? fixture.addKeyedServer(react) : fixture.addPlainServer(react);
+    if (!keyed) {
+      fixture.addPlainServer(react);
+    }
+    fixture.publish();
+    const std::string path = keyed ? "/keyed/x" : "/order/x";
+    for (int i = 0; i < 8; ++i) {
+      REQUIRE(fixture.sendAndAwait("POST", path));
+    }
+    server.resetConnections();
+    for (int i = 0; i < 4; ++i) {
+      const auto answer = fixture.sendAndAwait("POST", path);
+      REQUIRE(answer);
+      CHECK(answer->status == 200);
+    }
+  }
+}
--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -7,8 +7,15 @@
 
 namespace sycamore::entry {
 
+namespace {
+
+struct Connection;
+
+} // namespace
+
 struct FakeServer::State
 {
+  std::vector<std::weak_ptr<Connection>> connections;
   React react;
   std::vector<std::string> requests;
   unsigned accepted = 0;
@@ -106,6 +113,15 @@
   return state_->requests;
 }
 
+void FakeServer::resetConnections()
+{
+  for (const auto& weak : state_->connections) {
+    if (const auto connection = weak.lock()) {
+      connection->perform({ "", Reaction::End::Reset });
+    }
+  }
+}
+
 unsigned FakeServer::accepted() const
 {
   return state_->accepted;
@@ -123,13 +139,14 @@
       return;
     }
     ++state->accepted;
-    std::make_shared<Connection>(std::move(socket))
-      ->read(
-        [state](const std::string& request) {
-          state->requests.push_back(request);
-          return state->react(request);
-        },
-        [state] { ++state->ended; });
+    const auto connection = std::make_shared<Connection>(std::move(socket));
+    state->connections.push_back(connection);
+    connection->read(
+      [state](const std::string& request) {
+        state->requests.push_back(request);
+        return state->react(request);
+      },
+      [state] { ++state->ended; });
     accept();
   });
 }
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -37,6 +37,8 @@
 
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   const std::vector<std::string>& requests() const;
+  // Resets all connections.
+  void resetConnections();
   // Returns the number of connections that the server has accepted.
   unsigned accepted() const;
   // Returns the number of connections that the other side has ended.
