--- a/libs/dispatch/include/dispatch/PeerTable.h
+++ b/libs/dispatch/include/dispatch/PeerTable.h
@@ -46,9 +46,9 @@
   std::vector<Candidate> successors(base::TimePoint now) const;
   // Returns the number of entry VMs that may be sending requests to servers, including this one.
   std::size_t vmsSharingLimits(base::TimePoint now) const;
-  // Returns the address of the VM of this domain that aggregates the load for the domain; empty if
-  // no VM of the domain has reported recently.
-  std::string loadAggregator(const base::DomainId& domain, base::TimePoint now) const;
+  // Returns the address of the VM that aggregates the load for its domain, for each domain of which
+  // a VM has reported recently.
+  std::map<base::DomainId, std::string> loadAggregators(base::TimePoint now) const;
   // Returns whether a VM is known to be in this domain.
   bool isInDomain(const base::VmId& vm, const base::DomainId& domain) const;
 
--- a/libs/dispatch/src/PeerTable.cpp
+++ b/libs/dispatch/src/PeerTable.cpp
@@ -48,16 +48,20 @@
   return static_cast<std::size_t>(peers) + 1;
 }
 
-std::string PeerTable::loadAggregator(const base::DomainId& domain, base::TimePoint now) const
+std::map<base::DomainId, std::string> PeerTable::loadAggregators(base::TimePoint now) const
 {
-  std::vector<const FanoutPeer*> members;
+  std::map<base::DomainId, std::vector<const FanoutPeer*>> domains;
   for (const auto& [vm, peer] : peers_) {
-    if (peer.domain == domain) {
-      members.push_back(&peer);
+    domains[peer.domain].push_back(&peer);
+  }
+  std::map<base::DomainId, std::string> aggregators;
+  for (const auto& [domain, members] : domains) {
+    const std::vector<std::string> chosen = chooseForwarders(members, {}, now);
+    if (!chosen.empty()) {
+      aggregators[domain] = chosen.front();
     }
   }
-  const std::vector<std::string> chosen = chooseForwarders(std::move(members), {}, now);
-  return chosen.empty() ? "" : chosen.front();
+  return aggregators;
 }
 
 bool PeerTable::isInDomain(const base::VmId& vm, const base::DomainId& domain) const
--- a/libs/dispatch/tests/PeerTableTest.cpp
+++ b/libs/dispatch/tests/PeerTableTest.cpp
@@ -58,3 +58,20 @@
   CHECK(table.isInDomain(kVm, base::DomainId("x")));
   CHECK_FALSE(table.isInDomain(base::VmId("c"), base::DomainId("x")));
 }
+
+// Guards against a domain whose load is sent to a VM that has failed.
+TEST_CASE("the responding VM with the most capacity aggregates the load of its domain")
+{
+  base::ManualClock clock;
+  PeerTable table({});
+  const base::DomainId domain("x");
+  const base::DomainId silent("y");
+  table.onReport(base::VmId("a"), { "10.0.0.1", domain, 1 }, false, clock.now());
+  table.onReport(base::VmId("b"), { "10.0.0.2", domain, 2 }, false, clock.now());
+  table.onReport(base::VmId("c"), { "10.0.0.3", silent, 2 }, false, clock.now());
+  CHECK(table.loadAggregators(clock.now()).at(domain) == "10.0.0.2");
+  clock.advance(std::chrono::milliseconds(1200));
+  table.onReport(base::VmId("a"), { "10.0.0.1", domain, 1 }, false, clock.now());
+  CHECK(table.loadAggregators(clock.now()).at(domain) == "10.0.0.1");
+  CHECK_FALSE(table.loadAggregators(clock.now()).contains(silent));
+}
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -82,6 +82,7 @@
   void tick();
   bool isStandby() const;
   void sendHeartbeats(base::TimePoint now);
+  HeartbeatMessage heartbeat(base::TimePoint now);
   bool isHandingOver() const;
   void beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
                                  base::TimePoint now);
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -249,28 +249,28 @@
   if (found == poolsByService_.end()) {
     return refusal("the service has no servers", kNoOwnerRetryDelay, counts_.refusedNoOwner);
   }
-  std::vector<std::shared_ptr<ServerPool>> sameDomain;
+  std::vector<std::shared_ptr<ServerPool>> compared;
   std::vector<std::shared_ptr<ServerPool>> otherDomains;
   for (const auto& pool : found->second) {
     const bool usable = acceptsRequests(pool->server()) && !request.tried(pool->server().id) &&
                         !pool->load().isSuspect(now);
     if (usable) {
       const bool isSameDomain = pool->server().domain == settings_.domain;
-      (isSameDomain ? sameDomain : otherDomains).push_back(pool);
+      (isSameDomain ? compared : otherDomains).push_back(pool);
     }
   }
-  // A few servers of each kind are compared first. The others are considered only if none of these
-  // can take the request.
-  const auto others = dispatch::splitAtRandom(
-    otherDomains, dispatch::comparedServers(otherDomains.size(), view_->entryVms), random_);
+  // A few servers of this domain and a few others are compared first. The rest is considered only
+  // if none of these can take the request.
   auto rest = dispatch::splitAtRandom(
-    sameDomain, dispatch::comparedServers(sameDomain.size(), view_->entryVms), random_);
-  rest.insert(rest.end(), others.begin(), others.end());
-  sameDomain.insert(sameDomain.end(), otherDomains.begin(), otherDomains.end());
+    compared, dispatch::comparedServers(compared.size(), view_->entryVms), random_);
+  const auto otherRest = dispatch::splitAtRandom(
+    otherDomains, dispatch::comparedServers(otherDomains.size(), view_->entryVms), random_);
+  compared.insert(compared.end(), otherDomains.begin(), otherDomains.end());
+  rest.insert(rest.end(), otherRest.begin(), otherRest.end());
 
   std::optional<Choice> busy;
-  for (const auto& pools : { sameDomain, rest }) {
-    const Choice choice = chooseAmong(pools, request, now);
+  for (const auto* pools : { &compared, &rest }) {
+    const Choice choice = chooseAmong(*pools, request, now);
     if (choice.pool) {
       priorityThrottles_[request.service()].onRequestSent(request.route().priority, now);
       return choice;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -561,9 +561,33 @@
     coordinatorSince_ = now;
     listPeers();
   }
-  HeartbeatMessage message;
   const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
   beginHandoverIfWorthwhile(order, now);
+  HeartbeatMessage message = heartbeat(now);
+  setEntryVms(message.entryVms);
+  // Unresponsive VMs get the last rank, since they may respond again.
+  std::map<base::VmId, unsigned> ranks;
+  for (const dispatch::Candidate& candidate : order) {
+    ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
+  }
+  const std::map<base::DomainId, std::string> loadAggregators = peerTable_.loadAggregators(now);
+  const auto aggregatorOf = [&loadAggregators](const base::DomainId& domain) {
+    const auto found = loadAggregators.find(domain);
+    return found == loadAggregators.end() ? std::string() : found->second;
+  };
+  loadSharing_.setAggregator(aggregatorOf(settings_.domain));
+  for (const auto& [vm, peer] : peerTable_.peers()) {
+    const auto rank = ranks.find(vm);
+    message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
+    message.loadAggregator = aggregatorOf(peer.domain);
+    peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
+  }
+}
+
+// Returns the part of a heartbeat that is the same for all receivers.
+HeartbeatMessage EntryControl::heartbeat(base::TimePoint now)
+{
+  HeartbeatMessage message;
   message.heartbeat = { self_,
                         coordinatorRole_.coordinator()->record().epoch,
                         coordinatorRole_.storeReachable(),
@@ -577,25 +601,7 @@
     message.isRelay = message.isRelay && mirror->isWatching();
     message.lastChangeRevisions.push_back(mirror->lastChangeRevision());
   }
-  setEntryVms(message.entryVms);
-  // Unresponsive VMs get the last rank, since they may respond again.
-  std::map<base::VmId, unsigned> ranks;
-  for (const dispatch::Candidate& candidate : order) {
-    ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
-  }
-  std::map<base::DomainId, std::string> loadAggregators;
-  for (const auto& [vm, peer] : peerTable_.peers()) {
-    if (!loadAggregators.contains(peer.domain)) {
-      loadAggregators[peer.domain] = peerTable_.loadAggregator(peer.domain, now);
-    }
-  }
-  loadSharing_.setAggregator(loadAggregators[settings_.domain]);
-  for (const auto& [vm, peer] : peerTable_.peers()) {
-    message.loadAggregator = loadAggregators[peer.domain];
-    const auto rank = ranks.find(vm);
-    message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
-    peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
-  }
+  return message;
 }
 
 bool EntryControl::isHandingOver() const
