Let a server that has started again release its keys before they move

Cause: a grant names a server's id, not its incarnation. A server that starts again under its id takes renewals that are meant for its earlier life until the coordinator reads its new entry. KeyCoordinator then took the later start for the end of the owner and made its ranges free at once, although the new life held them.

Evidence: KeyCoordinatorTest, "keys of a server that has started again move only after it has released them" and "... and doesn't answer move when its grants expire" both failed before the change: two servers held one key (checkSingleHolder). The fixture matched calls by incarnation, which the protocol doesn't; it matches them by id now, which is stricter.

Change: while a later incarnation of an owner is registered, its ranges aren't renewed; the incarnation is asked to release them under the next fencing token, and without an answer they move when the last grant has expired. Only another server's answer at the address still counts as the end of a process at once.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -190,8 +190,12 @@
   using Ranges = std::vector<ManagedRange>;
 
   const BackendServer* registered(const KeyRange& range) const;
-  // Returns whether the owner's process is known to have ended, so that it holds no keys.
+  // Returns whether another server is known to have the owner's address, so that no process holds
+  // keys by grants that were sent there.
   bool hasOwnerEnded(const KeyRange& range) const;
+  // Returns the next incarnation of the owner, if one is registered; null otherwise. It may have
+  // taken grants that were meant for the owner, since a call names only the server's id.
+  const BackendServer* nextIncarnation(const KeyRange& range) const;
   bool isLost(const std::string& incarnation, base::TimePoint now) const;
   bool isUsable(const BackendServer& server, base::TimePoint now) const;
   // Returns the time at which every grant to this incarnation has expired, whichever coordinator
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -247,11 +247,13 @@
 bool KeyCoordinator::hasOwnerEnded(const KeyRange& range) const
 {
   const auto incarnation = incarnations_.find(incarnationOf(range.owner, range.born));
-  if (incarnation != incarnations_.end() && incarnation->second.hasEnded) {
-    return true;
-  }
+  return incarnation != incarnations_.end() && incarnation->second.hasEnded;
+}
+
+const BackendServer* KeyCoordinator::nextIncarnation(const KeyRange& range) const
+{
   const auto found = servers_.find(range.owner);
-  return found != servers_.end() && found->second.born > range.born;
+  return found != servers_.end() && found->second.born > range.born ? &found->second : nullptr;
 }
 
 bool KeyCoordinator::isLost(const std::string& incarnation, base::TimePoint now) const
@@ -378,10 +380,12 @@
   }
   if (hasOwnerEnded(managed.range)) {
     managed.phase = Phase::Unowned;
-  } else if (isLost(incarnation, now)) {
+  } else if (nextIncarnation(managed.range) == nullptr && isLost(incarnation, now)) {
     // A lost server won't answer a release, so its range is unowned only once its grants have
     // expired.
     managed.phase = holdsNothing ? Phase::Unowned : Phase::Owned;
+  } else if (holdsNothing) {
+    managed.phase = Phase::Unowned;
   } else if (now >= previousCoordinatorsStopAt_) {
     managed.phase = Phase::Releasing;
     managed.nextCallAt = now;
@@ -397,7 +401,7 @@
   const auto known = incarnations_.find(incarnation);
   if (managed.phase != Phase::Owned || now < managed.nextCallAt || known == incarnations_.end() ||
       known->second.server.id != managed.range.owner || known->second.hasEnded ||
-      isLost(incarnation, now)) {
+      nextIncarnation(managed.range) != nullptr || isLost(incarnation, now)) {
     return;
   }
   managed.nextCallAt = now + settings_.renewalInterval;
@@ -418,16 +422,20 @@
       now < managed.grantCallEndsBy) {
     return;
   }
-  const auto known = incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
   managed.nextCallAt = now + kReleaseRetryInterval;
-  if (known == incarnations_.end() || known->second.server.id != managed.range.owner) {
-    return;
+  const BackendServer* server = nextIncarnation(managed.range);
+  if (server == nullptr) {
+    const auto known = incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
+    if (known == incarnations_.end() || known->second.server.id != managed.range.owner) {
+      return;
+    }
+    server = &known->second.server;
   }
   actions.releases.push_back({ service,
                                managed.range.from,
                                managed.range.to,
                                managed.range.fence + kReleaseStep,
-                               known->second.server });
+                               *server });
 }
 
 void KeyCoordinator::assignUnowned(const base::ServiceId& service,
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -94,10 +94,15 @@
 }
 
 void CoordinatorFixture::restart(const base::ServerId& server)
+{
+  restartUnnoticed(server);
+  publishServers();
+}
+
+void CoordinatorFixture::restartUnnoticed(const base::ServerId& server)
 {
   servers_.at(server).held.clear();
   servers_.at(server).registration.born = nextBorn_++;
-  publishServers();
 }
 
 void CoordinatorFixture::replaceAtAddress(const base::ServerId& server)
@@ -210,9 +215,7 @@
 CoordinatorFixture::Server* CoordinatorFixture::serverOf(const BackendServer& registration)
 {
   const auto found = servers_.find(registration.id);
-  return found != servers_.end() && found->second.registration.born == registration.born
-           ? &found->second
-           : nullptr;
+  return found == servers_.end() ? nullptr : &found->second;
 }
 
 void CoordinatorFixture::publishServers()
--- a/libs/dispatch/tests/CoordinatorFixture.h
+++ b/libs/dispatch/tests/CoordinatorFixture.h
@@ -33,7 +33,11 @@
 
   void disconnect(const base::ServerId& server);
   void drain(const base::ServerId& server);
+  // Starts the server again under its id; its entry in the store shows it at once, or only after
+  // publishServers().
   void restart(const base::ServerId& server);
+  void restartUnnoticed(const base::ServerId& server);
+  void publishServers();
   void replaceAtAddress(const base::ServerId& server);
   base::ServerId addServer();
   // Makes grants take effect while their answers are lost.
@@ -71,8 +75,8 @@
 
   void grant(const GrantOrder& order);
   void release(const ReleaseOrder& order);
+  // Returns the server that a call reaches: calls name the server's id, not its incarnation.
   Server* serverOf(const BackendServer& registration);
-  void publishServers();
 
   base::ManualClock clock_;
   base::ServiceId service_{ "layout" };
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -66,6 +66,44 @@
   CHECK(!fixture.holder(0).value().empty());
 }
 
+// Guards against two owners of a key: a server that had started again under its id took renewals
+// meant for its earlier life, while its keys were granted to others (seen by review/1).
+TEST_CASE("keys of a server that has started again move only after it has released them")
+{
+  CoordinatorFixture fixture(3);
+  fixture.run(seconds(5));
+  const KeyRange before = fixture.ranges().front();
+  fixture.restartUnnoticed(before.owner);
+  // One interval between renewals: the new life holds all keys of the earlier one.
+  fixture.run(milliseconds(850));
+  REQUIRE(fixture.holder(0) == before.owner);
+  fixture.publishServers();
+  for (int i = 0; i < 20; ++i) {
+    fixture.step();
+    fixture.checkSingleHolder();
+  }
+  CHECK(fixture.ranges().front().fence > before.fence);
+  CHECK(!fixture.holder(0).value().empty());
+}
+
+TEST_CASE("keys of a server that has started again and doesn't answer move when its grants expire")
+{
+  CoordinatorFixture fixture(3);
+  fixture.run(seconds(5));
+  const KeyRange before = fixture.ranges().front();
+  fixture.restartUnnoticed(before.owner);
+  fixture.run(milliseconds(850));
+  fixture.disconnect(before.owner);
+  fixture.publishServers();
+  const base::TimePoint published = fixture.now();
+  while (fixture.ranges().front().owner == before.owner && fixture.now() < published + seconds(5)) {
+    fixture.step();
+    fixture.checkSingleHolder();
+  }
+  CHECK(fixture.ranges().front().owner != before.owner);
+  CHECK(fixture.now() < published + milliseconds(3500));
+}
+
 // Guards against two owners of a key: a previous coordinator that was cut off renewed grants for
 // seconds after a later one had reported that it had itself stopped (seen in magnolia-verse
 // trouble-1).
