Count a grant as long as its call is open, and don't send it late

What could be seen: keys granted to a second server while a grant to the first one could still arrive or hadn't expired.

Cause: KeyCoordinator counted a grant's lifetime from its sending plus the nominal timeout of the call. A coordinator that is short of processor time gives the call up later, and its connection stays open until then; a grant whose connection was established late was written without a further look at the clock or the store's confirmation. Merging ranges forgot what was known of the unanswered grants of one half.

Change: GrantLedger keeps, for each server process, the open calls and the expiry of ended ones by key, so that splits, merges and new fencing tokens lose nothing. Keys of a lost owner wait for open calls; a release waits for open grants of its keys. A grant carries the time until which it may be sent; CallClient checks that right before it writes.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -4,6 +4,7 @@
 #include <base/Time.h>
 #include <dispatch/BackendServer.h>
 #include <dispatch/Configuration.h>
+#include <dispatch/GrantLedger.h>
 #include <dispatch/KeyRates.h>
 #include <dispatch/OwnershipRecord.h>
 #include <dispatch/RangePlacement.h>
@@ -50,6 +51,8 @@
   BackendServer server;
   // Token from the previous owner's answer to the release; empty if there is none.
   std::string handover;
+  // Time from which on the call must not be sent any more.
+  base::TimePoint sendBy{};
 };
 
 // Call that asks a server to release a range of keys.
@@ -87,7 +90,8 @@
 
 // Decides which server owns which keys and when it is safe to grant them. Keys move to another
 // server only after the previous owner has answered a release, after every grant that it may have
-// received has expired, or when its process is known to have ended. Every change of owner is
+// received has expired, or when its process is known to have ended. Each order that tick() returns
+// must be followed by one call that tells how it ended. Every change of owner is
 // written to the record before the first grant. Only the entry VM that the record names as
 // coordinator runs a KeyCoordinator.
 class KeyCoordinator
@@ -130,8 +134,8 @@
   // fencing token by that write.
   std::map<base::ServiceId, KeyRanges> onRecordWritten(base::TimePoint now);
 
-  // A grant is about to be written to a connection.
-  void onGrantSent(const GrantOrder& order, base::TimePoint now);
+  // Returns whether a grant may be written to a connection now. Time may have passed since tick().
+  bool maySend(const GrantOrder& order, base::TimePoint now) const;
   void onGrantAnswered(const GrantOrder& order, GrantAnswer answer, base::TimePoint now);
   // A release was answered with the token for the next owner, or got no answer (nothing).
   void onReleaseAnswered(const ReleaseOrder& order,
@@ -165,10 +169,6 @@
     KeyRange range;
     Phase phase = Phase::Owned;
     base::TimePoint nextCallAt{};
-    // Time by which the call of the last grant has ended, answered or not.
-    base::TimePoint grantCallEndsBy{};
-    // Time at which every unanswered grant has expired.
-    base::TimePoint unansweredGrantsExpireAt{};
     // Token from the previous owner's answer to the release, for the next grant.
     std::string handover;
     // Target of a planned move between live servers.
@@ -178,8 +178,8 @@
   struct Incarnation
   {
     BackendServer server;
-    // Time at which every grant that this VM has sent to it has expired.
-    base::TimePoint grantsExpireAt{};
+    // Grants that this VM has sent to it.
+    GrantLedger grants;
     // Start of the first of the unanswered calls; the clock's epoch if the last call was answered.
     base::TimePoint unansweredSince{};
     base::TimePoint nextProbeAt{};
@@ -199,8 +199,13 @@
   bool isLost(const std::string& incarnation, base::TimePoint now) const;
   bool isUsable(const BackendServer& server, base::TimePoint now) const;
   // Returns the time at which every grant to this incarnation has expired, whichever coordinator
-  // sent it.
+  // sent it; the latest time there is while one may still arrive.
   base::TimePoint allGrantsExpireAt(const std::string& incarnation) const;
+  // Returns the ledger of the grants that this VM has sent to the owner of a range; null if there
+  // were none.
+  const GrantLedger* grantsToOwner(const KeyRange& range) const;
+  // Returns the time at which the unanswered grants of a range to its owner have expired.
+  base::TimePoint unansweredGrantsExpireAt(const KeyRange& range) const;
   base::Duration grantDurationBound() const;
   void registerIncarnation(const BackendServer& server);
   std::vector<PlacementServer> placementServers(const base::ServiceId& service,
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -40,7 +40,7 @@
 {
   for (const auto& [service, ranges] : record_.services) {
     for (const KeyRange& range : ranges) {
-      ranges_[service].push_back({ range, Phase::Owned, now, {}, {}, {}, {} });
+      ranges_[service].push_back({ range, Phase::Owned, now, {}, {} });
     }
   }
 }
@@ -146,14 +146,9 @@
   return changes;
 }
 
-void KeyCoordinator::onGrantSent(const GrantOrder& order, base::TimePoint now)
+bool KeyCoordinator::maySend(const GrantOrder& order, base::TimePoint now) const
 {
-  Incarnation& incarnation = incarnations_[incarnationOf(order.server.id, order.server.born)];
-  incarnation.grantsExpireAt =
-    std::max(incarnation.grantsExpireAt, now + settings_.callTimeout + grantDurationBound());
-  for (ManagedRange* managed : rangesOf(order.service, order.from, order.to, order.fence)) {
-    managed->grantCallEndsBy = now + settings_.callTimeout;
-  }
+  return now < order.sendBy && now < confirmedAt_ + settings_.confirmationTimeout;
 }
 
 void KeyCoordinator::onGrantAnswered(const GrantOrder& order,
@@ -161,16 +156,21 @@
                                      base::TimePoint now)
 {
   const std::string incarnation = incarnationOf(order.server.id, order.server.born);
+  GrantLedger& grants = incarnations_[incarnation].grants;
+  const base::TimePoint expiresAt = now + grantDurationBound();
+  if (answer == GrantAnswer::NotSent) {
+    grants.onCallNotSent(order.from, order.to, order.fence);
+  } else if (answer == GrantAnswer::OutcomeUnknown) {
+    grants.onCallUnanswered(order.from, order.to, order.fence, expiresAt);
+  } else {
+    grants.onCallAnswered(order.from, order.to, order.fence, expiresAt);
+  }
   if (answer == GrantAnswer::OutcomeUnknown || answer == GrantAnswer::NotSent) {
     onCallUnanswered(incarnation, now);
   } else {
     onCallAnswered(incarnation);
   }
   for (ManagedRange* managed : rangesOf(order.service, order.from, order.to, order.fence)) {
-    managed->grantCallEndsBy = now;
-    if (answer == GrantAnswer::OutcomeUnknown) {
-      managed->unansweredGrantsExpireAt = now + grantDurationBound();
-    }
     if (managed->phase != Phase::Owned) {
       continue;
     }
@@ -208,7 +208,8 @@
   for (ManagedRange* managed :
        rangesOf(order.service, order.from, order.to, order.fence - kReleaseStep)) {
     if (managed->phase == Phase::Releasing) {
-      managed->phase = now < managed->unansweredGrantsExpireAt ? Phase::Released : Phase::Unowned;
+      managed->phase =
+        now < unansweredGrantsExpireAt(managed->range) ? Phase::Released : Phase::Unowned;
       managed->handover = *handover;
     }
   }
@@ -279,7 +280,19 @@
   const auto found = incarnations_.find(incarnation);
   return found == incarnations_.end()
            ? previousGrantsExpireAt
-           : std::max(previousGrantsExpireAt, found->second.grantsExpireAt);
+           : std::max(previousGrantsExpireAt, found->second.grants.allExpireAt());
+}
+
+const GrantLedger* KeyCoordinator::grantsToOwner(const KeyRange& range) const
+{
+  const auto found = incarnations_.find(incarnationOf(range.owner, range.born));
+  return found == incarnations_.end() ? nullptr : &found->second.grants;
+}
+
+base::TimePoint KeyCoordinator::unansweredGrantsExpireAt(const KeyRange& range) const
+{
+  const GrantLedger* const grants = grantsToOwner(range);
+  return grants == nullptr ? base::TimePoint{} : grants->unansweredExpireAt(range.from, range.to);
 }
 
 base::Duration KeyCoordinator::grantDurationBound() const
@@ -352,7 +365,7 @@
   }
   for (const KeyRange& range :
        partitionKeys(servers, initialRangesPerServer(servers.size(), settings_.placement))) {
-    ranges_[service].push_back({ range, Phase::AwaitingWrite, now, {}, {}, {}, {} });
+    ranges_[service].push_back({ range, Phase::AwaitingWrite, now, {}, {} });
   }
   hasUnwrittenChanges_ = true;
 }
@@ -370,7 +383,8 @@
   }
   if (managed.phase == Phase::Released) {
     managed.phase =
-      holdsNothing || now >= managed.unansweredGrantsExpireAt ? Phase::Unowned : Phase::Released;
+      holdsNothing || now >= unansweredGrantsExpireAt(managed.range) ? Phase::Unowned
+                                                                     : Phase::Released;
     return;
   }
   const BackendServer* server = registered(managed.range);
@@ -405,12 +419,14 @@
     return;
   }
   managed.nextCallAt = now + settings_.renewalInterval;
+  known->second.grants.onCallBegun(managed.range.from, managed.range.to, managed.range.fence);
   actions.grants.push_back({ service,
                              managed.range.from,
                              managed.range.to,
                              managed.range.fence,
                              known->second.server,
-                             managed.handover });
+                             managed.handover,
+                             now + settings_.callTimeout });
 }
 
 void KeyCoordinator::release(const base::ServiceId& service,
@@ -418,8 +434,11 @@
                              CoordinatorActions& actions,
                              base::TimePoint now)
 {
-  if (managed.phase != Phase::Releasing || now < managed.nextCallAt ||
-      now < managed.grantCallEndsBy) {
+  if (managed.phase != Phase::Releasing || now < managed.nextCallAt) {
+    return;
+  }
+  const GrantLedger* const grants = grantsToOwner(managed.range);
+  if (grants != nullptr && grants->hasOpenCall(managed.range.from, managed.range.to)) {
     return;
   }
   managed.nextCallAt = now + kReleaseRetryInterval;
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -160,12 +160,16 @@
 void CoordinatorFixture::grant(const GrantOrder& order)
 {
   ++grantsSent_;
+  lastGrant_ = order;
   Server* server = serverOf(order.server);
   if (server == nullptr || !server->reachable) {
     coordinator_->onGrantAnswered(order, GrantAnswer::NotSent, clock_.now());
     return;
   }
-  coordinator_->onGrantSent(order, clock_.now());
+  if (server->holdsCallsOpen) {
+    openCalls_.push_back(order);
+    return;
+  }
   if (replaced_.contains(order.server.id)) {
     coordinator_->onServerProcessEnded(order.server);
     coordinator_->onGrantAnswered(order, GrantAnswer::OtherServer, clock_.now());
@@ -178,16 +182,31 @@
     }
   }
   handoverTokensPassed_ += order.handover.empty() ? 0 : 1;
-  std::erase_if(server->held,
-                [&](const Held& held) { return held.from >= order.from && held.to <= order.to; });
-  server->held.push_back(
-    { order.from, order.to, order.fence, clock_.now() + settings_.grantDuration });
+  hold(*server, order);
   coordinator_->onGrantAnswered(order,
                                 server->losesAnswers ? GrantAnswer::OutcomeUnknown
                                                      : GrantAnswer::Accepted,
                                 clock_.now());
 }
 
+void CoordinatorFixture::hold(Server& server, const GrantOrder& order) const
+{
+  std::erase_if(server.held,
+                [&](const Held& held) { return held.from >= order.from && held.to <= order.to; });
+  server.held.push_back(
+    { order.from, order.to, order.fence, clock_.now() + settings_.grantDuration });
+}
+
+void CoordinatorFixture::endOpenCalls()
+{
+  for (const GrantOrder& order : openCalls_) {
+    servers_.at(order.server.id).holdsCallsOpen = false;
+    hold(servers_.at(order.server.id), order);
+    coordinator_->onGrantAnswered(order, GrantAnswer::OutcomeUnknown, clock_.now());
+  }
+  openCalls_.clear();
+}
+
 void CoordinatorFixture::release(const ReleaseOrder& order)
 {
   Server* server = serverOf(order.server);
--- a/libs/dispatch/tests/CoordinatorFixture.h
+++ b/libs/dispatch/tests/CoordinatorFixture.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sycamore::dispatch {
 
@@ -40,6 +41,10 @@
   void publishServers();
   void replaceAtAddress(const base::ServerId& server);
   base::ServerId addServer();
+  // Leaves the calls of the server's grants open from now on: each arrives and is given up only by
+  // endOpenCalls().
+  void holdCallsOpen(const base::ServerId& server) { servers_.at(server).holdsCallsOpen = true; }
+  void endOpenCalls();
   // Makes grants take effect while their answers are lost.
   void loseAnswers(const base::ServerId& server, bool lose);
   void setStoreReachable(bool reachable) { storeReachable_ = reachable; }
@@ -53,6 +58,7 @@
   void recordEvenLoad(unsigned requests);
   void recordLoad(KeyNumber from, KeyNumber to, unsigned each);
 
+  const GrantOrder& lastGrant() const { return lastGrant_; }
   std::size_t grantsSent() const { return grantsSent_; }
   std::size_t handoverTokensPassed() const { return handoverTokensPassed_; }
 
@@ -71,9 +77,11 @@
     std::deque<Held> held;
     bool reachable = true;
     bool losesAnswers = false;
+    bool holdsCallsOpen = false;
   };
 
   void grant(const GrantOrder& order);
+  void hold(Server& server, const GrantOrder& order) const;
   void release(const ReleaseOrder& order);
   // Returns the server that a call reaches: calls name the server's id, not its incarnation.
   Server* serverOf(const BackendServer& registration);
@@ -84,8 +92,10 @@
   OwnershipRecord stored_;
   std::map<base::ServerId, Server> servers_;
   std::set<base::ServerId> replaced_;
+  std::vector<GrantOrder> openCalls_;
   std::unique_ptr<KeyCoordinator> coordinator_;
   bool storeReachable_ = true;
+  GrantOrder lastGrant_;
   std::size_t grantsSent_ = 0;
   std::size_t handoverTokensPassed_ = 0;
   unsigned nextServer_ = 0;
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -153,6 +153,45 @@
   fixture.checkSingleHolder();
 }
 
+// Guards against two owners of a key: a coordinator without processor time gives calls up late, and
+// a grant can arrive until then.
+TEST_CASE("keys don't move while a grant may still arrive, nor before it would have expired")
+{
+  CoordinatorFixture fixture(3);
+  fixture.run(seconds(5));
+  const base::ServerId slow = fixture.ranges().front().owner;
+  // Two more renewals get no answer in time, so that the server counts as lost.
+  fixture.loseAnswers(slow, true);
+  fixture.run(milliseconds(1000));
+  fixture.holdCallsOpen(slow);
+  fixture.run(milliseconds(1700));
+  fixture.disconnect(slow);
+  fixture.run(seconds(4));
+  CHECK(fixture.ranges().front().owner == slow);
+  fixture.endOpenCalls();
+  const base::TimePoint endedAt = fixture.now();
+  while (fixture.ranges().front().owner == slow && fixture.now() < endedAt + seconds(5)) {
+    fixture.step();
+    fixture.checkSingleHolder();
+  }
+  CHECK(fixture.ranges().front().owner != slow);
+}
+
+// Guards against a grant that is written long after it was decided, when another coordinator may
+// have given the keys away.
+TEST_CASE("a grant isn't sent late, nor without the store's confirmation")
+{
+  CoordinatorFixture fixture(2);
+  fixture.run(seconds(5));
+  const GrantOrder order = fixture.lastGrant();
+  CHECK(fixture.coordinator().maySend(order, order.sendBy - milliseconds(1)));
+  CHECK_FALSE(fixture.coordinator().maySend(order, order.sendBy));
+  GrantOrder patient = order;
+  patient.sendBy = fixture.now() + seconds(60);
+  CHECK(fixture.coordinator().maySend(patient, fixture.now()));
+  CHECK_FALSE(fixture.coordinator().maySend(patient, fixture.now() + seconds(5)));
+}
+
 // Guards against waiting for the grants of a server whose address another server has taken over
 // (seen in magnolia-verse trouble-1).
 TEST_CASE("a server is considered ended when another server answers at its address")
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -19,8 +19,9 @@
   std::string headers;
   std::string body;
   base::Duration timeout{};
-  // Called right before the call is written to a connection; may be empty.
-  std::function<void()> beforeSend;
+  // Checked right before the call is written to a connection, which may be long after the call began
+  // if the process got no processor time. If it doesn't hold, the call isn't sent. May be empty.
+  std::function<bool()> maySend;
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -67,11 +67,11 @@
   // Closes the connection; the callback of an exchange in progress isn't called.
   void abandon();
 
-  // Sets a listener that is called once, right before the first byte of the next exchange is
-  // written.
-  void setSendListener(std::function<void()> sendListener)
+  // Sets a condition that is checked once, right before the first byte of the next exchange is
+  // written. If it doesn't hold, the exchange ends without being sent.
+  void setSendCondition(std::function<bool()> sendCondition)
   {
-    sendListener_ = std::move(sendListener);
+    sendCondition_ = std::move(sendCondition);
   }
 
   // Returns whether the current exchange has begun to send.
@@ -109,7 +109,7 @@
   AnswerReader reader_;
   std::string requestId_;
   Finished finished_;
-  std::function<void()> sendListener_;
+  std::function<bool()> sendCondition_;
   std::function<void()> idleEndListener_;
   base::TimePoint reusableUntil_{};
   bool isOpen_ = false;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -39,7 +39,7 @@
     bytes += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
   }
   bytes += "\r\n" + call.body;
-  pending->connection->setSendListener(std::move(call.beforeSend));
+  pending->connection->setSendCondition(std::move(call.maySend));
   pending->timer.expires_after(
     std::chrono::duration_cast<std::chrono::steady_clock::duration>(call.timeout));
   pending->timer.async_wait([pending](const error_code& error) {
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -281,9 +281,7 @@
              wire::grantBody(order, settings_.grantDuration),
              settings_.callTimeout,
              [this, order, term = term_] {
-               if (term == term_) {
-                 coordinator_->onGrantSent(order, clockNow());
-               }
+               return term == term_ && coordinator_->maySend(order, clockNow());
              } };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("grant", order.server.domain == domain_, result.bytes);
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -114,11 +114,12 @@
 // Writes and reads concurrently, since a server may answer before it has read a long body.
 void ServerConnection::send()
 {
+  if (sendCondition_ && !std::exchange(sendCondition_, nullptr)()) {
+    finish(ExchangeEnd::NotSent);
+    return;
+  }
   sendStarted_ = true;
   exchangedBytes_ += out_.size();
-  if (sendListener_) {
-    std::exchange(sendListener_, nullptr)();
-  }
   asio::async_write(
     socket_,
     asio::buffer(out_),
