Take another server's answer for the end of a process only on a new connection

What could be seen: all keys of a live server granted to others at once.

Cause: calls to servers carry no id and share connections, where a late second copy of an earlier answer may be read as the answer to the next call. A status that says "another server is here" was final for the owner's process, whichever connection it came on. On a connection that the server has answered before, another process can't answer at all.

Evidence: OwnershipAnswersTest, "another server's answer counts only on a connection that carried no other call"; with the old reading of the status (wire::readGrantAnswer) its second part is OtherServer.

Change: on a used connection the answer counts as unreadable, and the idle connections to the address are closed, so that the next call gets a certain answer. The log line grant_failed says whether the connection had been used.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -36,6 +36,9 @@
 
   void call(Call call, Finished finished);
 
+  // Closes the idle connections to this address.
+  void closeIdle(const dispatch::Endpoint& endpoint);
+
 private:
   struct Pending;
   using EndpointKey = std::pair<std::string, std::uint16_t>;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -70,6 +70,11 @@
                                 });
 }
 
+void CallClient::closeIdle(const dispatch::Endpoint& endpoint)
+{
+  idleConnectionsOf(endpoint).closeAll();
+}
+
 IdleConnections& CallClient::idleConnectionsOf(const dispatch::Endpoint& endpoint)
 {
   return idleConnections_[{ endpoint.ip, endpoint.port }];
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -1,5 +1,6 @@
 #include <entry/CoordinatorRole.h>
 
+#include <entry/OwnershipAnswers.h>
 #include <entry/ServerPool.h>
 #include <entry/SteadyTime.h>
 
@@ -288,11 +289,10 @@
     if (term != term_) {
       return;
     }
-    dispatch::GrantAnswer answer = dispatch::GrantAnswer::OutcomeUnknown;
-    if (result.end == ExchangeEnd::NotSent) {
-      answer = dispatch::GrantAnswer::NotSent;
-    } else if (result.end == ExchangeEnd::Answered) {
-      answer = wire::readGrantAnswer(result.answer.result_int());
+    const dispatch::GrantAnswer answer = grantAnswerOf(result);
+    if (result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown) {
+      // The next call gets a new connection, where the answer is certain to be its own.
+      calls_.closeIdle(endpointOf(order.server));
     }
     if (answer == dispatch::GrantAnswer::OtherServer) {
       coordinator_->onServerProcessEnded(order.server);
@@ -303,7 +303,8 @@
                    { "from", order.from },
                    { "fence", order.fence },
                    { "status", result.answer.result_int() },
-                   { "end", static_cast<int>(result.end) } });
+                   { "end", static_cast<int>(result.end) },
+                   { "connection_reused", result.reused } });
     }
     coordinator_->onGrantAnswered(order, answer, clockNow());
   });
--- /dev/null
+++ b/libs/entry/src/OwnershipAnswers.cpp
@@ -0,0 +1,21 @@
+#include <entry/OwnershipAnswers.h>
+
+#include <wire/ServerProtocol.h>
+
+namespace sycamore::entry {
+
+dispatch::GrantAnswer grantAnswerOf(const ExchangeResult& result)
+{
+  if (result.end == ExchangeEnd::NotSent) {
+    return dispatch::GrantAnswer::NotSent;
+  }
+  if (result.end != ExchangeEnd::Answered) {
+    return dispatch::GrantAnswer::OutcomeUnknown;
+  }
+  const dispatch::GrantAnswer answer = wire::readGrantAnswer(result.answer.result_int());
+  return answer == dispatch::GrantAnswer::OtherServer && result.reused
+           ? dispatch::GrantAnswer::OutcomeUnknown
+           : answer;
+}
+
+} // namespace sycamore::entry
--- /dev/null
+++ b/libs/entry/tests/OwnershipAnswersTest.cpp
@@ -0,0 +1,68 @@
+#include "FakeServer.h"
+
+#include <entry/CallClient.h>
+#include <entry/OwnershipAnswers.h>
+
+#include <doctest/doctest.h>
+
+using namespace sycamore;
+using namespace sycamore::entry;
+using dispatch::GrantAnswer;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kAccepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+constexpr const char* kOtherServer = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+
+// Sends calls one after the other to a server that reacts with given bytes.
+class Calls
+{
+public:
+  explicit Calls(std::vector<std::string> answers)
+    : server_(context_, [answers, next = std::size_t(0)](const std::string&) mutable {
+      return FakeServer::Reaction{ answers.at(next++) };
+    })
+  {
+  }
+
+  ExchangeResult call()
+  {
+    std::optional<ExchangeResult> result;
+    Call call;
+    call.endpoint = { "127.0.0.1", server_.port() };
+    call.method = "POST";
+    call.path = "/";
+    call.body = "{}";
+    call.timeout = milliseconds(500);
+    client_.call(std::move(call), [&](ExchangeResult ended) { result = std::move(ended); });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    while (!result && std::chrono::steady_clock::now() < deadline) {
+      context_.restart();
+      context_.run_one_for(milliseconds(20));
+    }
+    REQUIRE(result);
+    return std::move(*result);
+  }
+
+  const FakeServer& server() const { return server_; }
+
+private:
+  asio::io_context context_;
+  FakeServer server_;
+  CallClient client_{ context_, BufferQuota(1024 * 1024) };
+};
+
+} // namespace
+
+// Guards against freeing the keys of a live server because of a foreign or late answer.
+TEST_CASE("another server's answer counts only on a connection that carried no other call")
+{
+  Calls fresh({ kOtherServer });
+  CHECK(grantAnswerOf(fresh.call()) == GrantAnswer::OtherServer);
+
+  Calls reused({ kAccepted, kOtherServer });
+  CHECK(grantAnswerOf(reused.call()) == GrantAnswer::Accepted);
+  CHECK(grantAnswerOf(reused.call()) == GrantAnswer::OutcomeUnknown);
+  CHECK(reused.server().accepted() == 1);
+}
