Send releases on connections of their own

Cause: a faulty server may send a second copy of an answer where the next one is expected. Calls to servers carry no id and share connections, so that the late copy of a grant's 200 was read as the answer to the release that followed it, before the work on the keys had ended.

Evidence: OwnershipAnswersTest, "a release isn't sent on a connection that carried another call" (the call used the idle connection before) and "an answer on a connection that carried another call doesn't end a release".

Change: a release gets a new connection, in place of an idle one, since servers limit their number; only an answer there counts. The answer is a typed value: released, another server, not sent, or unknown. A release that wasn't sent is tried again after 200 ms, not 1.1 s.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -88,6 +88,25 @@
   OutcomeUnknown
 };
 
+struct ReleaseAnswer
+{
+  enum class Kind
+  {
+    // The server has ended its work on the keys.
+    Released,
+    // Another server answers at the address.
+    OtherServer,
+    // No connection: the server hasn't received the release.
+    NotSent,
+    // Sent, but without an answer that is certain to be the release's own.
+    OutcomeUnknown
+  };
+
+  Kind kind = Kind::OutcomeUnknown;
+  // Token for the next owner; empty if there is none.
+  std::string handover = "";
+};
+
 // Decides which server owns which keys and when it is safe to grant them. Keys move to another
 // server only after the previous owner has answered a release, after every grant that it may have
 // received has expired, or when its process is known to have ended. Each order that tick() returns
@@ -137,9 +156,8 @@
   // Returns whether a grant may be written to a connection now. Time may have passed since tick().
   bool maySend(const GrantOrder& order, base::TimePoint now) const;
   void onGrantAnswered(const GrantOrder& order, GrantAnswer answer, base::TimePoint now);
-  // A release was answered with the token for the next owner, or got no answer (nothing).
   void onReleaseAnswered(const ReleaseOrder& order,
-                         const std::optional<std::string>& handover,
+                         const ReleaseAnswer& answer,
                          base::TimePoint now);
 
   // The server's process has ended, since another server answers at its address.
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint64_t kOwnerStep = 2;
 // Interval after which an unanswered release is sent again.
 constexpr base::Duration kReleaseRetryInterval = base::milliseconds(1100);
+// Interval after which a release that wasn't sent is tried again, such as when the server had no
+// room for another connection.
+constexpr base::Duration kUnsentReleaseRetryInterval = base::milliseconds(200);
 // Interval between two probes of a lost server.
 constexpr base::Duration kProbeInterval = base::milliseconds(1000);
 // Number of consecutive unanswered calls from which on a server can be considered lost.
@@ -196,21 +199,28 @@
 }
 
 void KeyCoordinator::onReleaseAnswered(const ReleaseOrder& order,
-                                       const std::optional<std::string>& handover,
+                                       const ReleaseAnswer& answer,
                                        base::TimePoint now)
 {
   const std::string incarnation = incarnationOf(order.server.id, order.server.born);
-  if (!handover) {
+  const bool isAnswered = answer.kind == ReleaseAnswer::Kind::Released ||
+                          answer.kind == ReleaseAnswer::Kind::OtherServer;
+  if (isAnswered) {
+    onCallAnswered(incarnation);
+  } else {
     onCallUnanswered(incarnation, now);
-    return;
   }
-  onCallAnswered(incarnation);
   for (ManagedRange* managed :
        rangesOf(order.service, order.from, order.to, order.fence - kReleaseStep)) {
-    if (managed->phase == Phase::Releasing) {
+    if (managed->phase != Phase::Releasing) {
+      continue;
+    }
+    if (answer.kind == ReleaseAnswer::Kind::NotSent) {
+      managed->nextCallAt = std::min(managed->nextCallAt, now + kUnsentReleaseRetryInterval);
+    } else if (answer.kind == ReleaseAnswer::Kind::Released) {
       managed->phase =
         now < unansweredGrantsExpireAt(managed->range) ? Phase::Released : Phase::Unowned;
-      managed->handover = *handover;
+      managed->handover = answer.handover;
     }
   }
 }
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -211,7 +211,11 @@
 {
   Server* server = serverOf(order.server);
   if (server == nullptr || !server->reachable || server->losesAnswers) {
-    coordinator_->onReleaseAnswered(order, std::nullopt, clock_.now());
+    const bool isSent = server != nullptr && server->reachable;
+    coordinator_->onReleaseAnswered(
+      order,
+      { isSent ? ReleaseAnswer::Kind::OutcomeUnknown : ReleaseAnswer::Kind::NotSent },
+      clock_.now());
     return;
   }
   std::deque<Held> kept;
@@ -228,7 +232,7 @@
     }
   }
   server->held = kept;
-  coordinator_->onReleaseAnswered(order, "token", clock_.now());
+  coordinator_->onReleaseAnswered(order, { ReleaseAnswer::Kind::Released, "token" }, clock_.now());
 }
 
 CoordinatorFixture::Server* CoordinatorFixture::serverOf(const BackendServer& registration)
--- a/libs/entry/include/entry/OwnershipAnswers.h
+++ b/libs/entry/include/entry/OwnershipAnswers.h
@@ -15,4 +15,8 @@
 // that carried no other call, where another process can answer at all.
 dispatch::GrantAnswer grantAnswerOf(const ExchangeResult& result);
 
+// Returns what a server's answer to a release means. Only an answer on a connection that carried no
+// other call counts: a late copy of an earlier one would free keys on which the server still works.
+dispatch::ReleaseAnswer releaseAnswerOf(const ExchangeResult& result);
+
 } // namespace sycamore::entry
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -27,6 +27,11 @@
   const base::TimePoint now = clockNow();
   auto pending = std::make_shared<Pending>(context_);
   pending->connection = idleConnectionsOf(call.endpoint).take(now);
+  if (pending->connection && call.needsNewConnection) {
+    // The new connection takes the place of an idle one, since servers limit their number.
+    pending->connection->abandon();
+    pending->connection = nullptr;
+  }
   if (!pending->connection) {
     pending->connection = std::make_shared<ServerConnection>(context_, call.endpoint, quota_);
   }
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -318,25 +318,25 @@
              wire::serverHeader(order.server.id),
              wire::releaseBody(order),
              kReleaseTimeout,
-             nullptr };
+             nullptr,
+             true };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("release", order.server.domain == domain_, result.bytes);
     if (term != term_) {
       return;
     }
-    if (result.end == ExchangeEnd::Answered && wire::isMisdirected(result.answer.result_int())) {
+    const dispatch::ReleaseAnswer answer = releaseAnswerOf(result);
+    if (answer.kind == dispatch::ReleaseAnswer::Kind::OtherServer) {
       coordinator_->onServerProcessEnded(order.server);
     }
-    const auto handover = result.end == ExchangeEnd::Answered
-                            ? wire::readReleaseAnswer(result.answer.result_int(), result.answer)
-                            : std::nullopt;
     log_.write("release",
                { { "server", order.server.id.value() },
                  { "from", order.from },
                  { "to", order.to },
                  { "fence", order.fence },
-                 { "answered", handover.has_value() } });
-    coordinator_->onReleaseAnswered(order, handover, clockNow());
+                 { "answered", answer.kind == dispatch::ReleaseAnswer::Kind::Released },
+                 { "end", static_cast<int>(result.end) } });
+    coordinator_->onReleaseAnswered(order, answer, clockNow());
   });
 }
 
--- a/libs/entry/src/OwnershipAnswers.cpp
+++ b/libs/entry/src/OwnershipAnswers.cpp
@@ -18,4 +18,15 @@
            : answer;
 }
 
+dispatch::ReleaseAnswer releaseAnswerOf(const ExchangeResult& result)
+{
+  dispatch::ReleaseAnswer answer;
+  if (result.end == ExchangeEnd::NotSent) {
+    answer.kind = dispatch::ReleaseAnswer::Kind::NotSent;
+  } else if (result.end == ExchangeEnd::Answered && !result.reused) {
+    answer = wire::readReleaseAnswer(result.answer.result_int(), result.answer);
+  }
+  return answer;
+}
+
 } // namespace sycamore::entry
--- a/libs/entry/tests/OwnershipAnswersTest.cpp
+++ b/libs/entry/tests/OwnershipAnswersTest.cpp
@@ -26,7 +26,7 @@
   {
   }
 
-  ExchangeResult call()
+  ExchangeResult call(bool needsNewConnection = false)
   {
     std::optional<ExchangeResult> result;
     Call call;
@@ -35,6 +35,7 @@
     call.path = "/";
     call.body = "{}";
     call.timeout = milliseconds(500);
+    call.needsNewConnection = needsNewConnection;
     client_.call(std::move(call), [&](ExchangeResult ended) { result = std::move(ended); });
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(2);
     while (!result && std::chrono::steady_clock::now() < deadline) {
@@ -66,3 +67,22 @@
   CHECK(grantAnswerOf(reused.call()) == GrantAnswer::OutcomeUnknown);
   CHECK(reused.server().accepted() == 1);
 }
+
+// Guards against granting keys on which their owner still works: a late second copy of a grant's
+// answer was taken for the answer to the release (seen by review/3).
+TEST_CASE("a release isn't sent on a connection that carried another call")
+{
+  Calls calls({ kAccepted, kAccepted });
+  CHECK(grantAnswerOf(calls.call()) == GrantAnswer::Accepted);
+  const dispatch::ReleaseAnswer released = releaseAnswerOf(calls.call(true));
+  CHECK(calls.server().accepted() == 2);
+  CHECK(released.kind == dispatch::ReleaseAnswer::Kind::Released);
+}
+
+TEST_CASE("an answer on a connection that carried another call doesn't end a release")
+{
+  Calls calls({ kAccepted, kAccepted });
+  calls.call();
+  const dispatch::ReleaseAnswer copied = releaseAnswerOf(calls.call());
+  CHECK(copied.kind == dispatch::ReleaseAnswer::Kind::OutcomeUnknown);
+}
