Don't take on work that a stopping VM can't wait for, and answer the rest

Cause: a VM that had got SIGTERM served requests like any other for 3.2 s (3.7 s on new connections) and stopped its event loop 150 ms before the end of the grace period, whatever was in flight. Work of up to the route's timeout fits only if it began early enough.

Change: dispatch::ShutdownPlan decides, without clock or network. A request is sent if its answer is due in any case before the last answers are given (400 ms before SIGKILL), or, in the first 3 s, if twice its expected latency fits. Everything else gets 503 with Retry-After and Connection: close at once. At the time of the last answers, requests that were sent get 504, those that no server has received and those still being received 503. drain_ends_requests logs their number, refused_stopping_total counts the refusals. sycamored already bounds its drain by a deadline and waits for its callers; it isn't changed.

Tests of CallerServerTest share the caller's connection with the new tests: moved to CallerFixture, no check changed.

--- a/libs/entry/include/entry/CallerConnection.h
+++ b/libs/entry/include/entry/CallerConnection.h
@@ -29,6 +29,9 @@
   // connection hasn't arrived in time.
   void closeIdle();
 
+  // Answers the request that is being received or handled, because the process ends.
+  void endRequest();
+
 private:
   enum class State
   {
@@ -47,6 +50,8 @@
   void continueIfExpected();
   void rejectMalformed();
   void rejectForMemory();
+  // Refuses the request that is being received with status 503.
+  void rejectReceiving(std::string_view reason, base::Duration retryAfter);
   void respond(CallerAnswer answer);
   void write(std::string bytes, bool close);
   void onWritten(const error_code& error, bool close);
--- a/libs/entry/include/entry/CallerServer.h
+++ b/libs/entry/include/entry/CallerServer.h
@@ -24,6 +24,9 @@
   // Accepts no more connections and closes those without an active request.
   void stopAccepting();
 
+  // Gives every request that is in progress its final answer, because the process ends.
+  void endRequests();
+
   // Returns the number of requests that have begun to arrive and haven't been fully answered.
   std::size_t activeRequests() const;
   std::size_t connections() const { return connections_.size(); }
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -15,6 +15,7 @@
 #include <dispatch/RouteTable.h>
 #include <dispatch/RoutingView.h>
 #include <dispatch/ServerSampling.h>
+#include <dispatch/ShutdownPlan.h>
 #include <dispatch/WorkMean.h>
 #include <requests/RetryBudget.h>
 #include <wire/ServerProtocol.h>
@@ -48,6 +49,7 @@
   std::uint64_t refusedByServer = 0;
   std::uint64_t refusedUnreachable = 0;
   std::uint64_t refusedNoMemory = 0;
+  std::uint64_t refusedStopping = 0;
   std::uint64_t failedUnknown = 0;
   std::uint64_t failedTimeout = 0;
   std::uint64_t callerLeft = 0;
@@ -83,6 +85,9 @@
 
   const dispatch::CallerLimits& callerLimits() const;
 
+  // From now on, requests are only sent to a server as far as the plan allows.
+  void beginShutdown(const dispatch::ShutdownPlan& plan) { shutdown_ = plan; }
+
   // Handles a request that began to arrive at `beganAt`. `deliver` is called exactly once unless
   // the returned handler is cancelled.
   std::shared_ptr<RequestHandler> handle(Request request, base::TimePoint beganAt, Deliver deliver);
@@ -134,6 +139,8 @@
   // Lets servers that haven't been measured count as average ones of their service.
   void assumeServiceWork(ServerPool& pool) const;
   bool isKeyed(const base::ServiceId& service) const;
+  // Returns whether the process may still wait for a server's answer to a request.
+  bool canAwaitAnswer(const RequestHandler& request, ServerPool& pool, base::TimePoint now) const;
   bool acceptsRequests(const dispatch::BackendServer& server) const;
   bool tryTakeColdStartShare(ServerPool& pool, base::TimePoint now);
   std::shared_ptr<ServerPool> poolOf(const base::ServerId& id);
@@ -155,6 +162,8 @@
   std::map<base::ServiceId, dispatch::PriorityThrottle> priorityThrottles_;
   dispatch::CrashSuspects suspects_;
   ConnectionBreakListener connectionBreakListener_;
+  // Set once the process has been told to stop.
+  std::optional<dispatch::ShutdownPlan> shutdown_;
   TrafficReport report_;
   DispatchCounts counts_;
   TrafficMetrics metrics_;
--- a/libs/entry/include/entry/RequestHandler.h
+++ b/libs/entry/include/entry/RequestHandler.h
@@ -19,6 +19,9 @@
   // Stops the work on the request because the caller has disconnected.
   void cancel();
 
+  // Gives the request its final answer now, because the process ends.
+  void expire();
+
   const dispatch::Route& route() const { return *route_; }
   const base::ServiceId& service() const { return service_; }
   const wire::RequestMetadata& metadata() const { return metadata_; }
@@ -27,9 +30,12 @@
   // Return the time left until the target latency and until the deadline of the answer.
   base::Duration targetLeft(base::TimePoint now) const;
   base::Duration timeLeft(base::TimePoint now) const;
+  // Returns the time by which the caller gets an answer in any case.
+  base::TimePoint answerDeadline() const { return answerDeadline_; }
 
 private:
   void send();
+  void onStopping();
   void sendTo(const std::shared_ptr<ServerPool>& pool, base::TimePoint now);
   void onResult(ExchangeResult result);
   void onAnswered(ExchangeResult result);
@@ -40,7 +46,8 @@
   bool mayResend(base::TimePoint now) const;
   bool tryWithdrawRetry(base::TimePoint now);
   void sendAfter(base::Duration delay);
-  void onTimeout();
+  // Ends the request without an answer of a server.
+  void onTimeout(std::string_view reason);
   // Ends the request with an error answer of the router.
   void fail(unsigned status, std::string_view reason);
   void refuse(std::string_view reason, base::Duration retryAfter);
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -17,8 +17,10 @@
 // Time after a connection was accepted within which its first request is expected. A caller sends
 // it right after connecting; during a drain the connection isn't closed before.
 constexpr base::Duration kFirstRequestTimeout = base::milliseconds(500);
-// Retry delay for requests that are refused for lack of memory.
+// Retry delays for requests that are refused while they are being received: for lack of memory, and
+// because this VM stops.
 constexpr base::Duration kNoMemoryRetryDelay = base::milliseconds(200);
+constexpr base::Duration kStoppingRetryDelay = base::milliseconds(50);
 // Time allowed for a caller to receive its answer.
 constexpr base::Duration kWriteTimeout = std::chrono::seconds(30);
 
@@ -63,6 +65,18 @@
   }
 }
 
+void CallerConnection::endRequest()
+{
+  if (state_ == State::Handling && requestHandler_) {
+    const auto requestHandler = requestHandler_;
+    requestHandler->expire();
+  } else if (state_ == State::Reading && (reader_.begun() || !in_.empty())) {
+    rejectReceiving("this entry VM stops", kStoppingRetryDelay);
+  } else if (state_ == State::Reading) {
+    close();
+  }
+}
+
 void CallerConnection::beginRequest()
 {
   const auto& limits = server_.dispatcher_.callerLimits();
@@ -191,12 +205,17 @@
 {
   server_.dispatcher_.onRequestMemoryExhausted();
   keepAlive_ = false;
-  if (state_ != State::Reading) {
-    return;
+  if (state_ == State::Reading) {
+    rejectReceiving("too many requests are in progress here", kNoMemoryRetryDelay);
   }
+}
+
+void CallerConnection::rejectReceiving(std::string_view reason, base::Duration retryAfter)
+{
+  keepAlive_ = false;
   headOnly_ = false;
   state_ = State::Handling;
-  respond(makeAnswer(503, "", "too many requests are in progress here", kNoMemoryRetryDelay));
+  respond(makeAnswer(503, "", reason, retryAfter));
 }
 
 void CallerConnection::respond(CallerAnswer answer)
--- a/libs/entry/src/CallerServer.cpp
+++ b/libs/entry/src/CallerServer.cpp
@@ -36,6 +36,14 @@
   }
 }
 
+void CallerServer::endRequests()
+{
+  const auto connections = connections_;
+  for (const auto& connection : connections) {
+    connection->endRequest();
+  }
+}
+
 std::size_t CallerServer::activeRequests() const
 {
   return static_cast<std::size_t>(
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -188,6 +188,14 @@
   return policy != view_->configuration->services.end() && policy->second.keyed;
 }
 
+bool Dispatcher::canAwaitAnswer(const RequestHandler& request,
+                                ServerPool& pool,
+                                base::TimePoint now) const
+{
+  return !shutdown_ ||
+         shutdown_->maySend(now, request.answerDeadline(), pool.load().expectedLatency(now));
+}
+
 bool Dispatcher::acceptsRequests(const dispatch::BackendServer& server) const
 {
   return !server.draining && !view_->domainsOut.contains(server.domain);
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -23,6 +23,8 @@
 constexpr base::Duration kNotReadyRetryDelay = base::milliseconds(300);
 // Number of failed connections for one request after which no further server is tried.
 constexpr unsigned kMaxFailedConnections = 2;
+// Retry delay for callers of a VM that stops: other VMs take their requests.
+constexpr base::Duration kStoppingRetryDelay = base::milliseconds(50);
 // Timeout for callers that don't send one.
 constexpr base::Duration kDefaultTimeout = std::chrono::seconds(30);
 
@@ -94,7 +96,7 @@
   deadlineTimer_.expires_at(toSteadyClock(answerDeadline_));
   deadlineTimer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (!error) {
-      self->onTimeout();
+      self->onTimeout("no answer in time");
     }
   });
   send();
@@ -143,9 +145,26 @@
     refuse(choice.reason, choice.retryAfter);
     return;
   }
+  if (!dispatcher_.canAwaitAnswer(*this, *choice.pool, now)) {
+    decidingServer_ = choice.pool;
+    onStopping();
+    return;
+  }
   sendTo(choice.pool, now);
 }
 
+// The process would end before the server's answer is certain to arrive, or likely enough.
+void RequestHandler::onStopping()
+{
+  ++dispatcher_.counts_.refusedStopping;
+  if (mayHaveRun_) {
+    fail(502, "a server may have run the request, and this entry VM stops");
+  } else {
+    refuse("this entry VM stops before the answer would arrive",
+           dispatcher_.admission_.retryDelay(kStoppingRetryDelay, dispatcher_.random()));
+  }
+}
+
 void RequestHandler::sendTo(const std::shared_ptr<ServerPool>& pool, base::TimePoint now)
 {
   connection_ = pool->acquire(dispatcher_.connectionLimit(*pool), now);
@@ -369,7 +388,12 @@
   });
 }
 
-void RequestHandler::onTimeout()
+void RequestHandler::expire()
+{
+  onTimeout("no answer before this entry VM stops");
+}
+
+void RequestHandler::onTimeout(std::string_view reason)
 {
   if (!deliver_) {
     return;
@@ -390,7 +414,7 @@
     endExchange(false);
   }
   if (mayHaveRun_) {
-    fail(504, "no answer in time");
+    fail(504, reason);
   } else {
     refuse("no server accepted the request before its timeout", kServerFullRetryDelay);
   }
--- a/libs/entry/tests/CallerServerTest.cpp
+++ b/libs/entry/tests/CallerServerTest.cpp
@@ -1,12 +1,9 @@
-#include "DispatcherFixture.h"
-
-#include <entry/CallerServer.h>
+#include "CallerFixture.h"
 
 #include <ServerTexts.h>
 #include <algorithm>
 #include <memory>
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <doctest/doctest.h>
@@ -18,72 +15,7 @@
 
 namespace {
 
-// Returns a free port on the loopback interface.
-std::uint16_t freePort(asio::io_context& context)
-{
-  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
-// A caller with one connection. Collects the bytes that arrive in `received`.
-struct Caller
-{
-  Caller(asio::io_context& context, std::uint16_t port)
-    : socket(context)
-  {
-    socket.connect({ asio::ip::make_address("127.0.0.1"), port });
-    read();
-  }
-
-  void read()
-  {
-    socket.async_read_some(
-      asio::buffer(chunk),
-      [this, guard = std::weak_ptr(alive)](const error_code& error, std::size_t count) {
-        if (guard.expired()) {
-          return;
-        }
-        received.append(chunk.data(), count);
-        if (error) {
-          ended = true;
-        } else {
-          read();
-        }
-      });
-  }
-
-  void send(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
-
-  tcp::socket socket;
-  std::array<char, 4096> chunk{};
-  std::string received;
-  bool ended = false;
-  // Expires with this object, which may be destroyed before its handlers run.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-};
-
-struct Fixture : DispatcherFixture
-{
-  explicit Fixture(std::uint64_t memoryBytes = 256ULL * 1024 * 1024)
-    : DispatcherFixture(memoryBytes)
-    , port(freePort(context()))
-    , callers(context(), { "127.0.0.1", port }, dispatcher())
-  {
-    addPlainServer([](const std::string& request) {
-      return FakeServer::Reaction{ validAnswer(requestIdOf(request),
-                                               "ok-" + requestIdOf(request)) };
-    });
-    publish();
-  }
-
-  std::uint16_t port;
-  CallerServer callers;
-};
-
-std::string get(const std::string& id)
-{
-  return "GET /read/x HTTP/1.1\r\nHost: shop.example\r\n" + requestIdLine(id) + "\r\n";
-}
+using Fixture = CallerFixture;
 
 } // namespace
 
--- a/libs/entry/tests/DispatcherFixture.h
+++ b/libs/entry/tests/DispatcherFixture.h
@@ -23,6 +23,8 @@
   void addAbsentServer();
   // Registers a server whose connections are never established.
   void addUnreachableServer();
+  // Unregisters all servers.
+  void removeServers() { servers_.clear(); }
   void publish();
 
   // Sends a request and runs the event loop until its answer arrives; returns nothing if there is
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -17,16 +17,11 @@
 
 // Interval between two traffic reports to the control thread.
 constexpr std::chrono::milliseconds kReportInterval{ 200 };
-// Time for which new connections are still accepted during a drain: the platform needs some seconds
-// to direct them to other VMs.
-constexpr base::Duration kAcceptDuringDrainDuration = std::chrono::milliseconds(3200);
 constexpr std::chrono::milliseconds kDrainCheckInterval{ 50 };
 // Interval between two log lines with the counters.
 constexpr base::Duration kStatusInterval = std::chrono::seconds(10);
 // Interval between two checks of the settings file.
 constexpr std::chrono::seconds kSettingsCheckInterval{ 5 };
-// Time before SIGKILL at which the process ends even if requests are in flight.
-constexpr base::Duration kKillMargin = std::chrono::milliseconds(150);
 
 std::uint64_t randomRunId()
 {
@@ -215,15 +210,16 @@
 
 // Shuts down in steps: the VM reports that it is not ready, so that the platform directs new
 // connections to other VMs; then it stops accepting connections; then the process ends as soon as
-// no request is in flight.
+// no request is in flight. Requests that are still in flight shortly before the platform kills the
+// process get their final answer then.
 void EntryProcess::beginDrain()
 {
-  if (draining_) {
+  if (shutdown_) {
     return;
   }
-  draining_ = true;
-  drainStartedAt_ = clockNow();
+  shutdown_.emplace(clockNow(), settings_.shutdownGracePeriod);
   log_.write("drain", { { "connections", callerServer_.connections() } });
+  dispatcher_.beginShutdown(*shutdown_);
   callerServer_.beginDrain();
   asio::post(control_, [this] { entryControl_.beginDrain(); });
   checkDrainProgress();
@@ -232,12 +228,17 @@
 void EntryProcess::checkDrainProgress()
 {
   const base::TimePoint now = clockNow();
-  if (!stoppedAccepting_ && now >= drainStartedAt_ + kAcceptDuringDrainDuration) {
+  if (!stoppedAccepting_ && now >= shutdown_->acceptsUntil()) {
     stoppedAccepting_ = true;
     callerServer_.stopAccepting();
   }
+  if (!requestsEnded_ && now >= shutdown_->lastAnswerAt()) {
+    requestsEnded_ = true;
+    log_.write("drain_ends_requests", { { "requests", callerServer_.activeRequests() } });
+    callerServer_.endRequests();
+  }
   const bool idle = stoppedAccepting_ && callerServer_.activeRequests() == 0;
-  if (idle || now >= drainStartedAt_ + settings_.shutdownGracePeriod - kKillMargin) {
+  if (idle || now >= shutdown_->endsAt()) {
     traffic_.stop();
     return;
   }
@@ -251,7 +252,7 @@
 
 bool EntryProcess::isReady() const
 {
-  if (draining_ || !view_ || !view_->isComplete()) {
+  if (shutdown_ || !view_ || !view_->isComplete()) {
     return false;
   }
   const auto& services = view_->configuration->services;
@@ -275,6 +276,7 @@
   appendMetric("refused_by_server_total", counts.refusedByServer);
   appendMetric("refused_unreachable_total", counts.refusedUnreachable);
   appendMetric("refused_no_memory_total", counts.refusedNoMemory);
+  appendMetric("refused_stopping_total", counts.refusedStopping);
   appendMetric("failed_unknown_total", counts.failedUnknown);
   appendMetric("failed_timeout_total", counts.failedTimeout);
   appendMetric("caller_left_total", counts.callerLeft);
--- a/programs/sycamore-entry/src/EntryProcess.h
+++ b/programs/sycamore-entry/src/EntryProcess.h
@@ -58,9 +58,10 @@
   // As last reported by the control thread.
   ControlStatus status_;
   base::TimePoint nextStatusLineAt_{};
-  base::TimePoint drainStartedAt_{};
-  bool draining_ = false;
+  // Set once the process has been told to stop.
+  std::optional<dispatch::ShutdownPlan> shutdown_;
   bool stoppedAccepting_ = false;
+  bool requestsEnded_ = false;
 };
 
 } // namespace sycamore::entry
