Answer the requests that were sent behind another one while a VM stops

Cause: every answer of a stopping VM closed its connection and dropped what had arrived behind it.

Evidence: ShutdownTest, "a VM that stops answers all requests that were sent behind one another"; before the change only the first answer arrived.

Change: the connection ends with the last request that has arrived. A caller can't use this to keep a connection beyond the stop: "requests behind one another are refused when the process ends".

--- a/libs/entry/include/entry/CallerConnection.h
+++ b/libs/entry/include/entry/CallerConnection.h
@@ -42,6 +42,8 @@
     Closing
   };
 
+  // Returns whether bytes of a further request have arrived.
+  bool hasUnreadBytes() const;
   void beginRequest();
   void read();
   void onBytes(const error_code& error, std::size_t count);
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -49,10 +49,13 @@
   if (state_ != State::Reading) {
     return state_ != State::Closing;
   }
-  // Bytes may have arrived that haven't been read yet.
+  return reader_.begun() || clockNow() < firstRequestExpectedUntil_ || hasUnreadBytes();
+}
+
+bool CallerConnection::hasUnreadBytes() const
+{
   error_code ignored;
-  return reader_.begun() || !in_.empty() || clockNow() < firstRequestExpectedUntil_ ||
-         socket_.available(ignored) > 0;
+  return !in_.empty() || socket_.available(ignored) > 0;
 }
 
 void CallerConnection::closeIdle()
@@ -224,7 +227,9 @@
   if (closed_ || state_ != State::Handling) {
     return;
   }
-  const bool close = !keepAlive_ || server_.draining_;
+  // A caller may have sent further requests before it learns that the connection ends with this
+  // answer. While the VM stops, they are answered too.
+  const bool close = !keepAlive_ || (server_.draining_ && !hasUnreadBytes());
   answerMemory_ = std::move(answer.memory);
   write(writeAnswer(answer, close, headOnly_), close);
 }
--- a/libs/entry/tests/ShutdownTest.cpp
+++ b/libs/entry/tests/ShutdownTest.cpp
@@ -99,3 +99,40 @@
   CHECK(caller.received.starts_with("HTTP/1.1 503"));
   CHECK(fixture.dispatcher().counts().received == 0);
 }
+
+// Guards against requests that were sent behind another one and end without an answer.
+TEST_CASE("a VM that stops answers all requests that were sent behind one another")
+{
+  Fixture fixture;
+  Caller caller(fixture.context(), fixture.port);
+  caller.send(get("p0"));
+  REQUIRE(fixture.runUntil([&] { return caller.received.find("ok-p0") != std::string::npos; }));
+  fixture.callers.beginDrain();
+  caller.received.clear();
+  caller.send(get("p1") + get("p2") + get("p3"));
+  CHECK(fixture.runUntil([&] { return caller.ended; }));
+  for (const char* const answer : { "ok-p1", "ok-p2", "ok-p3" }) {
+    CHECK(caller.received.find(answer) != std::string::npos);
+  }
+  const std::size_t close = caller.received.find("Connection: close");
+  CHECK(close > caller.received.find("ok-p2"));
+  CHECK(close != std::string::npos);
+}
+
+// Guards against a caller that keeps a connection of a stopping VM busy until it is killed.
+TEST_CASE("requests behind one another are refused when the process ends")
+{
+  Fixture fixture;
+  fixture.silenceServer();
+  Caller caller(fixture.context(), fixture.port);
+  caller.send(get("q1") + get("q2") + get("q3"));
+  REQUIRE(fixture.runUntil([&] { return fixture.dispatcher().counts().received == 1; }));
+  fixture.context().run_for(milliseconds(20));
+  fixture.callers.beginDrain();
+  fixture.dispatcher().beginShutdown(lateShutdown(milliseconds(300)));
+  fixture.callers.endRequests();
+  CHECK(fixture.runUntil([&] { return caller.ended; }));
+  CHECK(caller.received.starts_with("HTTP/1.1 504"));
+  CHECK(caller.received.find(requestIdLine("q2")) != std::string::npos);
+  CHECK(caller.received.find(requestIdLine("q3")) != std::string::npos);
+}
