Wait for unanswered grants of previous coordinators before keys move

Cause: a server may carry out a grant that got no answer seconds later, also after it has released the keys. A new coordinator knew only its own unanswered grants.

KeyCoordinatorTest, "released keys aren't reassigned while a previous coordinator's grant may take effect".

Change: a coordinator assumes that unanswered grants of its predecessors expire one lifetime after they have stopped. The message of a coordinator that stops says when they really do; if it has none, the successor moves keys at once. Planned moves between live servers wait for that time.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -107,6 +107,16 @@
   std::string handover = "";
 };
 
+// What a coordinator that stops granting tells its successor.
+struct CoordinatorStop
+{
+  // Time at which it and all coordinators before it have stopped granting.
+  base::TimePoint previousCoordinatorsStopAt{};
+  // Time at which all its grants without an answer, and theirs, have expired. Until then, a server
+  // may take such a grant also after it has released the keys.
+  base::TimePoint unansweredGrantsExpireAt{};
+};
+
 // Decides which server owns which keys and when it is safe to grant them. Keys move to another
 // server only after the previous owner has answered a release, after every grant that it may have
 // received has expired, or when its process is known to have ended. Each order that tick() returns
@@ -140,11 +150,10 @@
 
   // The store has confirmed that this VM is the coordinator, in answer to a call made at `askedAt`.
   void onCoordinatorConfirmed(base::TimePoint askedAt);
-  // The immediately preceding coordinator has reported that it no longer grants, and that the ones
-  // before it may grant until `until`.
-  void onPreviousCoordinatorStopped(base::TimePoint until);
-  // Returns the time at which every previous coordinator has stopped granting.
-  base::TimePoint previousCoordinatorsStopAt() const { return previousCoordinatorsStopAt_; }
+  // The immediately preceding coordinator has reported that it no longer grants.
+  void onPreviousCoordinatorStopped(const CoordinatorStop& stop);
+  // Returns the report for the next coordinator, if this one grants nothing more from now on.
+  CoordinatorStop stopReport(base::TimePoint now) const;
 
   // Advances all ranges and returns the actions that are due. To be called at short intervals.
   CoordinatorActions tick(base::TimePoint now);
@@ -222,9 +231,12 @@
   // Returns the ledger of the grants that this VM has sent to the owner of a range; null if there
   // were none.
   const GrantLedger* grantsToOwner(const KeyRange& range) const;
-  // Returns the time at which the unanswered grants of a range to its owner have expired.
+  // Returns the time at which the unanswered grants of a range to its owner have expired, whichever
+  // coordinator sent them.
   base::TimePoint unansweredGrantsExpireAt(const KeyRange& range) const;
   base::Duration grantDurationBound() const;
+  // Returns the time at which a grant has expired whose call began at `begunAt` and got no answer.
+  base::TimePoint unansweredCallExpiresAt(base::TimePoint begunAt) const;
   void registerIncarnation(const BackendServer& server);
   std::vector<PlacementServer> placementServers(const base::ServiceId& service,
                                                 base::TimePoint now) const;
@@ -267,6 +279,8 @@
   std::map<std::string, Incarnation> incarnations_;
   // Time at which every previous coordinator has stopped granting.
   base::TimePoint previousCoordinatorsStopAt_;
+  // Time at which every unanswered grant of the previous coordinators has expired.
+  base::TimePoint previousUnansweredGrantsExpireAt_{};
   // Time of the last call by whose answer the store confirmed this VM as the coordinator.
   base::TimePoint confirmedAt_;
   base::TimePoint nextPlanAt_{};
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -41,6 +41,9 @@
   , previousCoordinatorsStopAt_(std::max(previousCoordinatorsGrantUntil, now))
   , confirmedAt_(now)
 {
+  if (!record_.services.empty()) {
+    previousUnansweredGrantsExpireAt_ = unansweredCallExpiresAt(previousCoordinatorsStopAt_);
+  }
   for (const auto& [service, ranges] : record_.services) {
     for (const KeyRange& range : ranges) {
       ranges_[service].push_back({ range, Phase::Owned, now, {}, {} });
@@ -87,9 +90,26 @@
   confirmedAt_ = std::max(confirmedAt_, askedAt);
 }
 
-void KeyCoordinator::onPreviousCoordinatorStopped(base::TimePoint until)
+void KeyCoordinator::onPreviousCoordinatorStopped(const CoordinatorStop& stop)
+{
+  previousCoordinatorsStopAt_ =
+    std::min(previousCoordinatorsStopAt_, stop.previousCoordinatorsStopAt);
+  previousUnansweredGrantsExpireAt_ =
+    std::min(previousUnansweredGrantsExpireAt_, stop.unansweredGrantsExpireAt);
+}
+
+CoordinatorStop KeyCoordinator::stopReport(base::TimePoint now) const
 {
-  previousCoordinatorsStopAt_ = std::min(previousCoordinatorsStopAt_, until);
+  CoordinatorStop stop{ std::max(previousCoordinatorsStopAt_, now),
+                        previousUnansweredGrantsExpireAt_ };
+  for (const auto& [name, incarnation] : incarnations_) {
+    const GrantLedger& grants = incarnation.grants;
+    const base::TimePoint expireAt = grants.hasOpenCall(0, kLastKey)
+                                       ? unansweredCallExpiresAt(now)
+                                       : grants.unansweredExpireAt(0, kLastKey);
+    stop.unansweredGrantsExpireAt = std::max(stop.unansweredGrantsExpireAt, expireAt);
+  }
+  return stop;
 }
 
 CoordinatorActions KeyCoordinator::tick(base::TimePoint now)
@@ -103,7 +123,9 @@
       partitionService(service, now);
     }
   }
-  const bool planDue = now >= nextPlanAt_ && now >= previousCoordinatorsStopAt_;
+  // A planned move may wait until the keys don't have to wait between two servers.
+  const bool planDue = now >= nextPlanAt_ && now >= previousCoordinatorsStopAt_ &&
+                       now >= previousUnansweredGrantsExpireAt_;
   for (auto& [service, ranges] : ranges_) {
     for (ManagedRange& managed : ranges) {
       reviewOwner(managed, now);
@@ -286,7 +308,7 @@
 base::TimePoint KeyCoordinator::allGrantsExpireAt(const std::string& incarnation) const
 {
   const base::TimePoint previousGrantsExpireAt =
-    previousCoordinatorsStopAt_ + settings_.callTimeout + grantDurationBound();
+    unansweredCallExpiresAt(previousCoordinatorsStopAt_);
   const auto found = incarnations_.find(incarnation);
   return found == incarnations_.end()
            ? previousGrantsExpireAt
@@ -302,7 +324,9 @@
 base::TimePoint KeyCoordinator::unansweredGrantsExpireAt(const KeyRange& range) const
 {
   const GrantLedger* const grants = grantsToOwner(range);
-  return grants == nullptr ? base::TimePoint{} : grants->unansweredExpireAt(range.from, range.to);
+  return grants == nullptr ? previousUnansweredGrantsExpireAt_
+                           : std::max(previousUnansweredGrantsExpireAt_,
+                                      grants->unansweredExpireAt(range.from, range.to));
 }
 
 base::Duration KeyCoordinator::grantDurationBound() const
@@ -311,6 +335,11 @@
                                                     settings_.clockDriftFactor);
 }
 
+base::TimePoint KeyCoordinator::unansweredCallExpiresAt(base::TimePoint begunAt) const
+{
+  return begunAt + settings_.callTimeout + grantDurationBound();
+}
+
 void KeyCoordinator::registerIncarnation(const BackendServer& server)
 {
   incarnations_[incarnationOf(server.id, server.born)].server = server;
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -113,7 +113,8 @@
   fixture.run(seconds(5));
   const base::ServerId lost = fixture.ranges().front().owner;
   fixture.replaceCoordinator(seconds(5));
-  fixture.coordinator().onPreviousCoordinatorStopped(fixture.now() + seconds(4));
+  fixture.coordinator().onPreviousCoordinatorStopped(
+    { fixture.now() + seconds(4), fixture.now() + seconds(4) });
   fixture.disconnect(lost);
   const base::TimePoint startedAt = fixture.now();
   while (fixture.now() < startedAt + seconds(6)) {
@@ -153,6 +154,42 @@
   fixture.checkSingleHolder();
 }
 
+// Guards against two owners of a key: a server carried out a grant of the previous coordinator after
+// it had released the keys to the next one.
+TEST_CASE("released keys aren't reassigned while a previous coordinator's grant may take effect")
+{
+  CoordinatorFixture fixture(2);
+  fixture.run(seconds(5));
+  const base::ServerId leaving = fixture.ranges().front().owner;
+  fixture.loseAnswers(leaving, true);
+  fixture.run(milliseconds(900));
+  fixture.loseAnswers(leaving, false);
+  const CoordinatorStop stop = fixture.coordinator().stopReport(fixture.now());
+  CHECK(stop.unansweredGrantsExpireAt > fixture.now() + milliseconds(1500));
+  fixture.replaceCoordinator(seconds(5));
+  fixture.coordinator().onPreviousCoordinatorStopped(stop);
+  fixture.drain(leaving);
+  while (fixture.now() + milliseconds(100) < stop.unansweredGrantsExpireAt) {
+    fixture.step();
+    REQUIRE(fixture.ranges().front().owner == leaving);
+  }
+  fixture.run(milliseconds(500));
+  CHECK(fixture.ranges().front().owner != leaving);
+}
+
+TEST_CASE("keys move at once if the previous coordinator has left no grant without an answer")
+{
+  CoordinatorFixture fixture(2);
+  fixture.run(seconds(5));
+  const base::ServerId leaving = fixture.ranges().front().owner;
+  const CoordinatorStop stop = fixture.coordinator().stopReport(fixture.now());
+  fixture.replaceCoordinator(seconds(5));
+  fixture.coordinator().onPreviousCoordinatorStopped(stop);
+  fixture.drain(leaving);
+  fixture.run(milliseconds(300));
+  CHECK(fixture.ranges().front().owner != leaving);
+}
+
 // Guards against two owners of a key: a coordinator without processor time gives calls up late, and
 // a grant can arrive until then.
 TEST_CASE("keys don't move while a grant may still arrive, nor before it would have expired")
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -65,8 +65,10 @@
 struct CoordinatorStoppedMessage
 {
   std::uint64_t epoch = 0;
-  // Time after which all coordinators before the sender have stopped granting too.
+  // Times after which all coordinators before the sender have stopped granting too, and after which
+  // all unanswered grants of the sender and of them have expired.
   base::Duration previousCoordinatorsStopIn{};
+  base::Duration unansweredGrantsExpireIn{};
 };
 
 // Message from the coordinator to every other entry VM after each change of the ownership record.
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -431,8 +431,9 @@
     // Only the direct predecessor knows when all coordinators before it stop granting.
     if (coordinatorRole_.active() &&
         stopped->epoch + 1 == coordinatorRole_.coordinator()->record().epoch) {
+      const base::TimePoint now = clockNow();
       coordinatorRole_.coordinator()->onPreviousCoordinatorStopped(
-        clockNow() + stopped->previousCoordinatorsStopIn);
+        { now + stopped->previousCoordinatorsStopIn, now + stopped->unansweredGrantsExpireIn });
     }
   }
 }
@@ -449,11 +450,12 @@
       return;
     }
     const base::TimePoint now = clockNow();
-    const base::TimePoint previousCoordinatorsStopAt =
-      coordinatorRole_.coordinator()->previousCoordinatorsStopAt();
+    const dispatch::CoordinatorStop stop = coordinatorRole_.coordinator()->stopReport(now);
     coordinatorRole_.resign("another entry VM has a higher epoch");
     const CoordinatorStoppedMessage stopped{
-      own, std::max(base::Duration::zero(), previousCoordinatorsStopAt - now)
+      own,
+      std::max(base::Duration::zero(), stop.previousCoordinatorsStopAt - now),
+      std::max(base::Duration::zero(), stop.unansweredGrantsExpireAt - now)
     };
     const bool isSameDomain =
       peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain);
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -96,7 +96,10 @@
 Json toJson(const CoordinatorStoppedMessage& message)
 {
   return Json::array(
-    { kCoordinatorStopped, message.epoch, message.previousCoordinatorsStopIn.count() });
+    { kCoordinatorStopped,
+      message.epoch,
+      message.previousCoordinatorsStopIn.count(),
+      message.unansweredGrantsExpireIn.count() });
 }
 
 Json toJson(const OwnershipDeltaMessage& message)
@@ -308,7 +311,8 @@
         return readReport(json);
       case kCoordinatorStopped:
         return CoordinatorStoppedMessage{ json.at(1).get<std::uint64_t>(),
-                                          base::Duration(json.at(2).get<std::int64_t>()) };
+                                          base::Duration(json.at(2).get<std::int64_t>()),
+                                          base::Duration(json.at(3).get<std::int64_t>()) };
       case kOwnershipDelta:
         return readOwnershipDelta(json);
       case kObjectChange:
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -38,7 +38,7 @@
   return {
     heartbeat,
     report,
-    CoordinatorStoppedMessage{ 3, std::chrono::milliseconds(5) },
+    CoordinatorStoppedMessage{ 3, std::chrono::milliseconds(5), std::chrono::milliseconds(7) },
     delta,
     change,
     ForwardMessage{ { "10.0.0.1", "10.0.0.2" }, encodePeerMessage(change) },
