Let the tests of a stop see an answer that comes only by the route's timeout

With CallerServer::endRequests() taken out, the test of a silent server still passed, since the route's timeout of 400 ms brought its 504. The timeout is longer now than the test waits, and the test of a request that no server received checks which way it ended.

--- a/libs/entry/tests/ShutdownTest.cpp
+++ b/libs/entry/tests/ShutdownTest.cpp
@@ -58,6 +58,9 @@
 {
   Fixture fixture;
   fixture.silenceServer();
+  // Longer than the test waits, so that only the end of the process can bring the answer.
+  fixture.configuration().routes.front().timeout = seconds(30);
+  fixture.publish();
   Caller caller(fixture.context(), fixture.port);
   caller.send(get("e1"));
   REQUIRE(fixture.runUntil([&] { return fixture.callers.activeRequests() == 1; }));
@@ -83,6 +86,7 @@
   CHECK(fixture.runUntil([&] { return caller.ended; }));
   CHECK(caller.received.starts_with("HTTP/1.1 503"));
   CHECK(caller.received.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.dispatcher().counts().failedTimeout == 1);
 }
 
 TEST_CASE("a request that is still being received when the process ends gets status 503")
