Count the time for which a machine was suspended

What could be seen: two coordinators at once. A coordinator whose machine is suspended for longer than the store's confirmation counts would, after waking up, go on renewing grants by its old confirmation until it hears of its successor.

Cause: decisions read the steady clock, which stands still while a machine is suspended.

KeyCoordinatorTest shows that neither tick() nor maySend() grants anything once the clock has moved past the confirmation.

Change: clockNow() reads CLOCK_BOOTTIME. Asio's timers stay on the steady clock, to which deadlines are converted by the time left; the latest time stays the latest.

Failed try: the conversion first added the time left to the timers' clock for the latest time too; the test of that case failed.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -7,6 +7,7 @@
 #include <entry/LoadSharing.h>
 #include <entry/ObjectMirror.h>
 #include <entry/PeerLink.h>
+#include <entry/SteadyTime.h>
 
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
@@ -134,7 +135,7 @@
   // only once: with a successor that can't reach the store, the role would be passed on in circles.
   std::uint64_t handoverEpoch_ = 0;
   base::TimePoint coordinatorSince_{};
-  base::TimePoint lastHeartbeatAt_ = base::SteadyClock().now();
+  base::TimePoint lastHeartbeatAt_ = clockNow();
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/SteadyTime.h
+++ b/libs/entry/include/entry/SteadyTime.h
@@ -6,16 +6,12 @@
 
 namespace sycamore::entry {
 
-inline base::TimePoint clockNow()
-{
-  return base::SteadyClock().now();
-}
+// Returns the time by the host's monotonic clock that also counts the time for which the machine
+// was suspended. A VM that wakes up must not trust what it knew before as if it were recent.
+base::TimePoint clockNow();
 
-// Converts a deadline to the clock of Asio's timers. Both clocks are the host's monotonic clock.
-inline std::chrono::steady_clock::time_point toSteadyClock(base::TimePoint time)
-{
-  return std::chrono::steady_clock::time_point(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(time.time_since_epoch()));
-}
+// Converts a deadline to the clock of Asio's timers, which stands still while the machine is
+// suspended. The latest time there is stays the latest.
+std::chrono::steady_clock::time_point toSteadyClock(base::TimePoint time);
 
 } // namespace sycamore::entry
--- a/libs/entry/tests/DispatcherFixture.cpp
+++ b/libs/entry/tests/DispatcherFixture.cpp
@@ -1,5 +1,7 @@
 #include "DispatcherFixture.h"
 
+#include <entry/SteadyTime.h>
+
 #include <ServerTexts.h>
 
 namespace sycamore::entry {
@@ -124,7 +126,7 @@
 std::shared_ptr<RequestHandler> DispatcherFixture::begin(Request request,
                                                          Dispatcher::Deliver deliver)
 {
-  return dispatcher_->handle(std::move(request), base::SteadyClock().now(), std::move(deliver));
+  return dispatcher_->handle(std::move(request), clockNow(), std::move(deliver));
 }
 
 std::optional<CallerAnswer> DispatcherFixture::sendAndAwait(const std::string& method,
--- a/libs/entry/tests/ShutdownTest.cpp
+++ b/libs/entry/tests/ShutdownTest.cpp
@@ -1,5 +1,7 @@
 #include "CallerFixture.h"
 
+#include <entry/SteadyTime.h>
+
 #include <ServerTexts.h>
 
 #include <doctest/doctest.h>
@@ -18,7 +20,7 @@
 dispatch::ShutdownPlan lateShutdown(base::Duration left)
 {
   const base::Duration grace = seconds(6);
-  return { base::SteadyClock().now() - grace + left, grace };
+  return { clockNow() - grace + left, grace };
 }
 
 } // namespace
