--- a/programs/sycamore-entry/src/main.cpp
+++ b/programs/sycamore-entry/src/main.cpp
@@ -7,6 +7,8 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -46,10 +48,25 @@
   return text.str();
 }
 
+// Lets --help list the flags of this program, without the folder of the build.
+void setUpHelp()
+{
+  absl::FlagsUsageConfig config;
+  const auto isOwnFlag = [](absl::string_view file) { return absl::EndsWith(file, "main.cpp"); };
+  config.contains_help_flags = isOwnFlag;
+  config.contains_helpshort_flags = isOwnFlag;
+  config.contains_helppackage_flags = isOwnFlag;
+  config.normalize_filename = [](absl::string_view file) {
+    return std::string(file.substr(file.rfind('/') + 1));
+  };
+  absl::SetFlagsUsageConfig(std::move(config));
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+  setUpHelp();
   absl::SetProgramUsageMessage("routes callers' requests to backend servers on the platform");
   absl::ParseCommandLine(argc, argv);
   try {
