Log how copies of the store are updated and how their reads end

Change: log lines change_read (outcome, bytes, time) and copy_updated (way, time behind), and the metric copy_behind_seconds by kind. No decision changes.

--- a/libs/dispatch/include/dispatch/RelayedCopy.h
+++ b/libs/dispatch/include/dispatch/RelayedCopy.h
@@ -71,6 +71,12 @@
   std::uint64_t completeRevision() const { return lag_.complete(); }
   // Returns the newest revision that the relaying VM has announced.
   std::uint64_t announcedRevision() const { return lag_.announced(); }
+  // Returns the time for which the copy is known to lack an announced change, zero if it lacks
+  // none.
+  base::Duration timeBehind(base::TimePoint now) const
+  {
+    return lag_.isBehind() ? now - lag_.behindSince() : base::Duration::zero();
+  }
 
   // Returns whether this VM has to watch the store itself.
   bool mustWatchStore(base::TimePoint now) const
--- a/libs/dispatch/include/dispatch/RevisionLag.h
+++ b/libs/dispatch/include/dispatch/RevisionLag.h
@@ -34,6 +34,8 @@
   std::uint64_t complete() const { return complete_; }
   std::uint64_t announced() const { return announced_; }
   bool isBehind() const { return announced_ > complete_; }
+  // Returns the time at which the first missing change was announced. Meaningful while isBehind().
+  base::TimePoint behindSince() const { return behindSince_; }
 
   // Returns whether the copy has been behind for at least the time allowed for messages to arrive.
   bool isOverdue(base::Duration arrivalTimeout, base::TimePoint now) const
--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -2,6 +2,7 @@
 
 #include <entry/ByteCounts.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -30,6 +31,9 @@
   // Bytes that the control thread has exchanged with other VMs and with servers.
   ByteCounts bytes;
   std::uint64_t ownershipRevision = 0;
+  // Time for which the copy of each watched kind is known to lack a change, in the order
+  // configuration, servers, domains out.
+  std::array<double, 3> secondsBehind{};
   // Key ranges that this VM manages as coordinator, and those of them that no server holds.
   std::size_t ranges = 0;
   std::size_t rangesUnowned = 0;
--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -59,6 +59,9 @@
   // Returns the revision at which the copy last changed.
   std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
 
+  // Returns the time for which the copy is known to lack a change, zero if it lacks none.
+  base::Duration timeBehind(base::TimePoint now) const { return relayedCopy_.timeBehind(now); }
+
   // The relaying VM announced that it watches and that its copy last changed at this revision.
   void onRelayAnnouncement(std::uint64_t revision, base::TimePoint now);
   // A coordinator that doesn't watch at the moment was heard.
@@ -75,6 +78,8 @@
   bool apply(const wire::WatchEvent& event);
   void continueWatching(std::chrono::milliseconds delay);
   void publishChange(std::vector<wire::WatchEvent> events, std::uint64_t revision);
+  // Logs that the copy has changed, and how long it had been known to lack the change.
+  void logUpdate(const char* path, base::Duration behind);
   void onStoreReached();
   // Logs that this number of objects in an answer were left out.
   void logUnreadable(std::size_t objects);
@@ -82,6 +87,10 @@
   void onStoreFailure();
   void catchUp();
   void onCatchUpAnswer(const StoreAnswer& answer, wire::ReadConsistency reading);
+  // Logs how a read that should bring a missing change ended.
+  void logCatchUp(const StoreAnswer& answer,
+                  wire::ReadConsistency reading,
+                  base::TimePoint begunAt);
   void scheduleList(std::chrono::milliseconds delay);
 
   StoreClient& store_;
@@ -108,6 +117,8 @@
   // Whether a call, or the delay before it, is in progress.
   bool callPending_ = false;
   bool isWatching_ = false;
+  // Whether the answer in progress is that of a read for a missing change.
+  bool isCatchingUp_ = false;
   bool storeReachable_ = true;
 };
 
--- a/libs/entry/src/ControlStatus.cpp
+++ b/libs/entry/src/ControlStatus.cpp
@@ -48,6 +48,14 @@
         "coordinator_silence_seconds",
         "Time since the coordinator was last heard.",
         status.secondsSinceHeartbeat);
+  const std::string behind = "sycamore_entry_copy_behind_seconds";
+  telemetry::writeMetricHeader(
+    out, behind, "Time for which the copy of a kind is known to lack a change.", "gauge");
+  constexpr std::array kKinds{ "configuration", "servers", "domains_out" };
+  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    out += behind + telemetry::labelText({ "kind" }, { kKinds.at(i) }) + ' ' +
+           telemetry::numberText(status.secondsBehind.at(i)) + '\n';
+  }
   const std::string calls = "sycamore_entry_store_calls_total";
   telemetry::writeMetricHeader(out, calls, "Calls to the store by kind.", "counter");
   call(out, calls, "list", status.calls.lists);
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -678,6 +678,10 @@
   status.bytes = bytes_;
   status.ownershipRevision = ownership_.revision();
   status.entryVms = view_.entryVms;
+  for (std::size_t i = 0; i < mirrors_.size(); ++i) {
+    status.secondsBehind.at(i) =
+      std::chrono::duration<double>(mirrors_[i]->timeBehind(clockNow())).count();
+  }
   if (coordinatorRole_.active()) {
     status.ranges = coordinatorRole_.coordinator()->managedRanges();
     status.rangesUnowned = coordinatorRole_.coordinator()->unownedRanges();
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -23,6 +23,11 @@
 // changes for about a second before the store ends them.
 constexpr base::Duration kCursorTrustDelay = std::chrono::seconds(5);
 
+std::int64_t toMilliseconds(base::Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 ObjectMirror::ObjectMirror(asio::io_context& context,
@@ -81,13 +86,18 @@
                relayedCopy_.completeRevision(),
                kCatchUpWatchDuration,
                reading,
-               [this, reading](const StoreAnswer& answer) { onCatchUpAnswer(answer, reading); });
+               [this, reading, begunAt = clockNow()](const StoreAnswer& answer) {
+                 logCatchUp(answer, reading, begunAt);
+                 onCatchUpAnswer(answer, reading);
+               });
 }
 
 void ObjectMirror::onCatchUpAnswer(const StoreAnswer& answer, wire::ReadConsistency reading)
 {
   const std::uint64_t before = lastChangeRevision_;
+  isCatchingUp_ = true;
   onWatch(answer);
+  isCatchingUp_ = false;
   if (lastChangeRevision_ != before || callPending_) {
     return;
   }
@@ -105,6 +115,7 @@
 
 void ObjectMirror::onChangePart(const ObjectChange& change)
 {
+  const base::Duration behind = relayedCopy_.timeBehind(clockNow());
   if (!relayedCopy_.onChangePart(change.part)) {
     return;
   }
@@ -114,6 +125,7 @@
   }
   lastChangeRevision_ = std::max(lastChangeRevision_, change.part.revision);
   if (changed) {
+    logUpdate("relay", behind);
     objectsChangedListener_(objects_);
   }
 }
@@ -166,6 +178,7 @@
 
 void ObjectMirror::adoptList()
 {
+  const base::Duration behind = relayedCopy_.timeBehind(clockNow());
   std::vector<wire::WatchEvent> events;
   for (const auto& [name, object] : listedObjects_) {
     const auto known = objects_.find(name);
@@ -182,6 +195,7 @@
   relayedCopy_.onRead(listRevision_);
   deletedObjects_.onListed(listRevision_);
   if (!events.empty() || lastChangeRevision_ == 0) {
+    logUpdate("list", behind);
     publishChange(std::move(events), listRevision_);
   }
 }
@@ -217,6 +231,7 @@
     }
     cursor_.onWatchEnded(page.revision, !page.events.empty(), clockNow());
     if (!events.empty()) {
+      logUpdate(isCatchingUp_ ? "catch_up" : "watch", relayedCopy_.timeBehind(clockNow()));
       relayedCopy_.onRead(page.revision);
       publishChange(std::move(events), page.revision);
       onStoreReached();
@@ -244,6 +259,30 @@
   changeReadListener_(change);
 }
 
+void ObjectMirror::logUpdate(const char* path, base::Duration behind)
+{
+  // Servers change many times a second; what changes is logged for each.
+  if (settings_.kind == wire::Kind::Servers) {
+    return;
+  }
+  log_.write("copy_updated",
+             { { "kind", static_cast<int>(settings_.kind) },
+               { "path", path },
+               { "behind_ms", toMilliseconds(behind) } });
+}
+
+void ObjectMirror::logCatchUp(const StoreAnswer& answer,
+                              wire::ReadConsistency reading,
+                              base::TimePoint begunAt)
+{
+  log_.write("change_read",
+             { { "kind", static_cast<int>(settings_.kind) },
+               { "outcome", static_cast<int>(answer.outcome) },
+               { "current", reading == wire::ReadConsistency::Current },
+               { "bytes", answer.body.size() },
+               { "elapsed_ms", toMilliseconds(clockNow() - begunAt) } });
+}
+
 void ObjectMirror::onStoreReached()
 {
   consecutiveFailures_ = 0;
