Show that a copy falls behind while a large object changes often

A follower whose messages are lost reads the store's history since its own revision, each version in full, within one call's 700 ms.

--- /dev/null
+++ b/libs/entry/tests/ObjectMirrorTest.cpp
@@ -0,0 +1,100 @@
+#include "FakeStore.h"
+
+#include <entry/ObjectMirror.h>
+#include <entry/SteadyTime.h>
+
+#include <doctest/doctest.h>
+
+using namespace sycamore;
+using namespace sycamore::entry;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time within which an announced change must be in force.
+constexpr base::Duration kApplyBound = std::chrono::seconds(2);
+
+// A copy of the configuration on a VM that another one relays to, and a store.
+class Follower
+{
+public:
+  Follower(std::size_t storeBytesPerSecond, std::size_t routes)
+    : store_(context_, storeBytesPerSecond)
+    , calls_(context_, BufferQuota(64ULL * 1024 * 1024))
+    , client_(calls_, { "127.0.0.1", store_.port() }, bytes_)
+    , mirror_(
+        context_,
+        client_,
+        log_,
+        { wire::Kind::Configuration },
+        [this](const ObjectMirror::Objects& objects) {
+          revision_ = objects.begin()->second.revision;
+        },
+        [](const ObjectChange&) {})
+  {
+    store_.write(routes);
+    mirror_.onRelayAnnouncement(store_.revision(), clockNow());
+    mirror_.start();
+  }
+
+  // Runs for a time in which the configuration changes at each interval, and returns the longest
+  // time for which a change was missing. The changes are announced, but their messages are lost.
+  base::Duration runWithChanges(base::Duration duration,
+                                base::Duration changeInterval,
+                                std::size_t routes)
+  {
+    const base::TimePoint end = clockNow() + duration;
+    base::TimePoint nextChangeAt = clockNow() + changeInterval;
+    std::map<std::uint64_t, base::TimePoint> writtenAt;
+    base::Duration longest{};
+    while (clockNow() < end) {
+      context_.run_for(milliseconds(20));
+      const base::TimePoint now = clockNow();
+      if (now >= nextChangeAt) {
+        nextChangeAt += changeInterval;
+        store_.write(routes);
+        writtenAt[store_.revision()] = now;
+      }
+      mirror_.onRelayAnnouncement(store_.revision(), now);
+      mirror_.tick(false, true, now);
+      const auto missing = writtenAt.upper_bound(revision_);
+      longest = missing == writtenAt.end() ? longest : std::max(longest, now - missing->second);
+    }
+    return longest;
+  }
+
+  bool runUntilCurrent()
+  {
+    const base::TimePoint end = clockNow() + std::chrono::seconds(5);
+    while (revision_ != store_.revision() && clockNow() < end) {
+      context_.run_for(milliseconds(10));
+      mirror_.onRelayAnnouncement(store_.revision(), clockNow());
+      mirror_.tick(false, true, clockNow());
+    }
+    return revision_ == store_.revision();
+  }
+
+  FakeStore& store() { return store_; }
+
+private:
+  asio::io_context context_;
+  EventLog log_{ "vm" };
+  ByteCounts bytes_;
+  FakeStore store_;
+  CallClient calls_;
+  StoreClient client_;
+  ObjectMirror mirror_;
+  std::uint64_t revision_ = 0;
+};
+
+} // namespace
+
+// Guards against a copy that falls behind for as long as a large object changes.
+TEST_CASE("a copy that is read from the store keeps up with frequent changes of a large object")
+{
+  constexpr std::size_t kRoutes = 300;
+  // The link carries one version in about a third of the time of a call.
+  Follower follower(250'000, kRoutes);
+  REQUIRE(follower.runUntilCurrent());
+  CHECK(follower.runWithChanges(std::chrono::seconds(5), milliseconds(150), kRoutes) < kApplyBound);
+}
