Read the current state, not the history, of few large objects

What callers saw: a request was handled by a version of the configuration that had been replaced longer ago than it may take (CONFIG). Cause: a copy that missed a message read all versions since its own, each with all routes, within one call. What didn't arrive in that time was lost and the next read was larger, so the copy fell behind for as long as changes went on. Change: the configuration and the domains out are listed instead. The size of a list doesn't grow with the number of missed versions. Servers are many small entries and keep the history, but a failed read of it is followed by a list. A read that may not be called now no longer counts as begun.

--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -16,9 +16,20 @@
 
 namespace sycamore::entry {
 
+// How a copy reads a change whose messages were lost.
+enum class CatchUp
+{
+  // The changes since its own revision: for many small objects.
+  History,
+  // The current state: for few objects that may be large. Its size doesn't grow with the number of
+  // changes that were missed.
+  CurrentState
+};
+
 struct MirrorSettings
 {
   wire::Kind kind = wire::Kind::Servers;
+  CatchUp catchUp = CatchUp::CurrentState;
   // Time after which a watch ends if there are no changes.
   std::chrono::milliseconds watchDuration{ 4000 };
   // Delay between a change and the next watch, so that several changes in quick succession are read
@@ -72,7 +83,7 @@
 private:
   void list(const std::string& after);
   void onList(const StoreAnswer& answer);
-  void adoptList();
+  void adoptList(const char* path);
   void watch();
   void onWatch(const StoreAnswer& answer);
   bool apply(const wire::WatchEvent& event);
@@ -86,11 +97,10 @@
   void onUnreadable(const wire::WireError& error);
   void onStoreFailure();
   void catchUp();
-  void onCatchUpAnswer(const StoreAnswer& answer, wire::ReadConsistency reading);
-  // Logs how a read that should bring a missing change ended.
-  void logCatchUp(const StoreAnswer& answer,
-                  wire::ReadConsistency reading,
-                  base::TimePoint begunAt);
+  void readHistory();
+  void onHistoryRead(const StoreAnswer& answer, wire::ReadConsistency reading);
+  // Logs how a call for a missing change ended.
+  void logCatchUp(const StoreAnswer& answer) const;
   void scheduleList(std::chrono::milliseconds delay);
 
   StoreClient& store_;
@@ -117,8 +127,12 @@
   // Whether a call, or the delay before it, is in progress.
   bool callPending_ = false;
   bool isWatching_ = false;
-  // Whether the answer in progress is that of a read for a missing change.
+  // Whether the last read of the history failed. The history may have grown too long for a call, so
+  // that the next read is a list.
+  bool historyReadFailed_ = false;
+  // Whether the call in progress is for a missing change, and when it began.
   bool isCatchingUp_ = false;
+  base::TimePoint catchUpBeganAt_{};
   bool storeReachable_ = true;
 };
 
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -84,21 +84,29 @@
       context,
       store_,
       log,
-      { wire::Kind::Configuration, kWatchDuration, kConfigurationSettleDelay, run + 1 },
+      { wire::Kind::Configuration,
+        CatchUp::CurrentState,
+        kWatchDuration,
+        kConfigurationSettleDelay,
+        run + 1 },
       [this](const auto& objects) { onConfiguration(objects); },
       [this](const auto& change) { relay(change); })
   , serversMirror_(
       context,
       store_,
       log,
-      { wire::Kind::Servers, kWatchDuration, kServersSettleDelay, run + 2 },
+      { wire::Kind::Servers, CatchUp::History, kWatchDuration, kServersSettleDelay, run + 2 },
       [this](const auto& objects) { onServers(objects); },
       [this](const auto& change) { relay(change); })
   , domainsOutMirror_(
       context,
       store_,
       log,
-      { wire::Kind::DomainsOut, kWatchDuration, kConfigurationSettleDelay, run + 3 },
+      { wire::Kind::DomainsOut,
+        CatchUp::CurrentState,
+        kWatchDuration,
+        kConfigurationSettleDelay,
+        run + 3 },
       [this](const auto& objects) { onDomainsOut(objects); },
       [this](const auto& change) { relay(change); })
   , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -3,6 +3,7 @@
 #include <entry/SteadyTime.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamore::entry {
 
@@ -67,15 +68,27 @@
   }
 }
 
-// Reads the changes since the last complete revision after a message was lost. They are fewer
-// than all objects. If the store returns none, its history may be gone and all objects are listed.
+// Reads what has changed after a message was lost.
 void ObjectMirror::catchUp()
 {
-  callPending_ = true;
+  isCatchingUp_ = true;
+  catchUpBeganAt_ = clockNow();
   log_.write("change_missed",
              { { "kind", static_cast<int>(settings_.kind) },
                { "complete", relayedCopy_.completeRevision() },
                { "announced", relayedCopy_.announcedRevision() } });
+  if (settings_.catchUp == CatchUp::CurrentState || historyReadFailed_) {
+    list("");
+  } else {
+    readHistory();
+  }
+}
+
+// Reads the changes since the last complete revision. If the store returns none, its history may be
+// gone and all objects are listed.
+void ObjectMirror::readHistory()
+{
+  callPending_ = true;
   cursor_.onListed(relayedCopy_.completeRevision());
   // The first read for an announced revision may be outdated; a repeated one must be current.
   const wire::ReadConsistency reading = relayedCopy_.announcedRevision() > requestedRevision_
@@ -86,18 +99,14 @@
                relayedCopy_.completeRevision(),
                kCatchUpWatchDuration,
                reading,
-               [this, reading, begunAt = clockNow()](const StoreAnswer& answer) {
-                 logCatchUp(answer, reading, begunAt);
-                 onCatchUpAnswer(answer, reading);
-               });
+               [this, reading](const StoreAnswer& answer) { onHistoryRead(answer, reading); });
 }
 
-void ObjectMirror::onCatchUpAnswer(const StoreAnswer& answer, wire::ReadConsistency reading)
+void ObjectMirror::onHistoryRead(const StoreAnswer& answer, wire::ReadConsistency reading)
 {
   const std::uint64_t before = lastChangeRevision_;
-  isCatchingUp_ = true;
+  historyReadFailed_ = answer.outcome != StoreOutcome::Done;
   onWatch(answer);
-  isCatchingUp_ = false;
   if (lastChangeRevision_ != before || callPending_) {
     return;
   }
@@ -145,6 +154,7 @@
 
 void ObjectMirror::onList(const StoreAnswer& answer)
 {
+  logCatchUp(answer);
   if (answer.outcome != StoreOutcome::Done) {
     onStoreFailure();
     return;
@@ -167,16 +177,18 @@
     return;
   }
   onStoreReached();
+  const bool wasCatchingUp = std::exchange(isCatchingUp_, false);
+  historyReadFailed_ = false;
   // Messages that arrived during the list may have brought newer objects.
   if (listRevision_ >= lastChangeRevision_) {
-    adoptList();
+    adoptList(wasCatchingUp ? "catch_up" : "list");
   }
   cursor_.onListed(listRevision_);
   isWatching_ = true;
   continueWatching(isRelay_ ? settings_.settleDelay : kFollowerWatchDelay);
 }
 
-void ObjectMirror::adoptList()
+void ObjectMirror::adoptList(const char* path)
 {
   const base::Duration behind = relayedCopy_.timeBehind(clockNow());
   std::vector<wire::WatchEvent> events;
@@ -195,7 +207,7 @@
   relayedCopy_.onRead(listRevision_);
   deletedObjects_.onListed(listRevision_);
   if (!events.empty() || lastChangeRevision_ == 0) {
-    logUpdate("list", behind);
+    logUpdate(path, behind);
     publishChange(std::move(events), listRevision_);
   }
 }
@@ -211,6 +223,8 @@
 
 void ObjectMirror::onWatch(const StoreAnswer& answer)
 {
+  logCatchUp(answer);
+  const bool wasCatchingUp = std::exchange(isCatchingUp_, false);
   if (answer.outcome == StoreOutcome::HistoryGone) {
     log_.write("store_history_gone", { { "kind", static_cast<int>(settings_.kind) } });
     list("");
@@ -231,7 +245,7 @@
     }
     cursor_.onWatchEnded(page.revision, !page.events.empty(), clockNow());
     if (!events.empty()) {
-      logUpdate(isCatchingUp_ ? "catch_up" : "watch", relayedCopy_.timeBehind(clockNow()));
+      logUpdate(wasCatchingUp ? "catch_up" : "watch", relayedCopy_.timeBehind(clockNow()));
       relayedCopy_.onRead(page.revision);
       publishChange(std::move(events), page.revision);
       onStoreReached();
@@ -271,16 +285,16 @@
                { "behind_ms", toMilliseconds(behind) } });
 }
 
-void ObjectMirror::logCatchUp(const StoreAnswer& answer,
-                              wire::ReadConsistency reading,
-                              base::TimePoint begunAt)
+void ObjectMirror::logCatchUp(const StoreAnswer& answer) const
 {
+  if (!isCatchingUp_) {
+    return;
+  }
   log_.write("change_read",
              { { "kind", static_cast<int>(settings_.kind) },
                { "outcome", static_cast<int>(answer.outcome) },
-               { "current", reading == wire::ReadConsistency::Current },
                { "bytes", answer.body.size() },
-               { "elapsed_ms", toMilliseconds(clockNow() - begunAt) } });
+               { "elapsed_ms", toMilliseconds(clockNow() - catchUpBeganAt_) } });
 }
 
 void ObjectMirror::onStoreReached()
@@ -361,6 +375,7 @@
     std::min(kMaxRetryDelay, kMinRetryDelay * (1 << std::min(consecutiveFailures_, 5U)));
   ++consecutiveFailures_;
   isWatching_ = false;
+  isCatchingUp_ = false;
   const double fraction = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
   scheduleList(std::chrono::duration_cast<std::chrono::milliseconds>(delay * fraction));
 }
