Let a call to the store go on while its answer arrives

Cause: a call had 700 ms, whatever the size of its answer. A VM whose link carries the object in a longer time read it from the start again and again. Change: the time starts again with each byte that arrives, 3 s at most. Calls to servers keep their fixed timeout.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -18,6 +18,8 @@
   // Additional header lines, each with its line end.
   std::string headers;
   std::string body;
+  // Time for which the call may go without an answer or, if `maxDuration` is longer, without a
+  // further byte of it.
   base::Duration timeout{};
   // Checked right before the call is written to a connection, which may be long after the call
   // began if the process got no processor time. If it doesn't hold, the call isn't sent. May be
@@ -26,6 +28,8 @@
   // Whether the call needs a connection that carried no other call, where no late answer to an
   // earlier one can be taken for its own.
   bool needsNewConnection = false;
+  // Time that the call may take altogether while bytes of its answer arrive.
+  base::Duration maxDuration{};
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
@@ -47,6 +51,8 @@
   struct Pending;
   using EndpointKey = std::pair<std::string, std::uint16_t>;
 
+  // Waits until the call has made no progress for its timeout, or has taken too long.
+  static void awaitTimeout(const std::shared_ptr<Pending>& pending);
   IdleConnections& idleConnectionsOf(const dispatch::Endpoint& endpoint);
 
   asio::io_context& context_;
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -77,6 +77,9 @@
   // Returns whether the current exchange has begun to send.
   bool sendStarted() const { return sendStarted_; }
 
+  // Returns the number of bytes that the current exchange has received.
+  std::size_t receivedBytes() const { return receivedBytes_; }
+
   // Watches the idle connection and calls the listener when it ends.
   void watchIdle(std::function<void()> idleEndListener);
 
@@ -102,6 +105,7 @@
   std::array<char, 8192> chunk_{};
   // Bytes that the current exchange has sent or received.
   std::size_t exchangedBytes_ = 0;
+  std::size_t receivedBytes_ = 0;
   BufferQuota quota_;
   BufferReservation memory_;
   unsigned exchanges_ = 0;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -2,6 +2,8 @@
 
 #include <entry/SteadyTime.h>
 
+#include <algorithm>
+
 namespace sycamore::entry {
 
 struct CallClient::Pending
@@ -14,6 +16,10 @@
   std::shared_ptr<ServerConnection> connection;
   asio::steady_timer timer;
   Finished finished;
+  base::Duration timeout{};
+  base::TimePoint endsAt;
+  // Bytes of the answer when the timer was last started.
+  std::size_t receivedBytes = 0;
 };
 
 CallClient::CallClient(asio::io_context& context, const BufferQuota& quota)
@@ -45,19 +51,9 @@
   }
   bytes += "\r\n" + call.body;
   pending->connection->setSendCondition(std::move(call.maySend));
-  pending->timer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(call.timeout));
-  pending->timer.async_wait([pending](const error_code& error) {
-    if (error || !pending->finished) {
-      return;
-    }
-    ExchangeResult result;
-    result.end = pending->connection->sendStarted() ? ExchangeEnd::Broken : ExchangeEnd::NotSent;
-    pending->connection->abandon();
-    const Finished done = std::move(pending->finished);
-    pending->finished = nullptr;
-    done(std::move(result));
-  });
+  pending->timeout = call.timeout;
+  pending->endsAt = now + std::max(call.timeout, call.maxDuration);
+  awaitTimeout(pending);
   pending->connection->exchange(std::move(bytes),
                                 "",
                                 false,
@@ -75,6 +71,30 @@
                                 });
 }
 
+void CallClient::awaitTimeout(const std::shared_ptr<Pending>& pending)
+{
+  const base::TimePoint now = clockNow();
+  pending->timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+    std::min(pending->timeout, pending->endsAt - now)));
+  pending->timer.async_wait([pending](const error_code& error) {
+    if (error || !pending->finished) {
+      return;
+    }
+    const std::size_t received = pending->connection->receivedBytes();
+    if (received > pending->receivedBytes && clockNow() < pending->endsAt) {
+      pending->receivedBytes = received;
+      awaitTimeout(pending);
+      return;
+    }
+    ExchangeResult result;
+    result.end = pending->connection->sendStarted() ? ExchangeEnd::Broken : ExchangeEnd::NotSent;
+    pending->connection->abandon();
+    const Finished done = std::move(pending->finished);
+    pending->finished = nullptr;
+    done(std::move(result));
+  });
+}
+
 void CallClient::closeIdle(const dispatch::Endpoint& endpoint)
 {
   idleConnectionsOf(endpoint).closeAll();
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -68,6 +68,7 @@
 {
   out_ = std::move(bytes);
   exchangedBytes_ = 0;
+  receivedBytes_ = 0;
   memory_ = quota_.reserve();
   skippedAnswers_ = 0;
   ++exchanges_;
@@ -170,6 +171,7 @@
   }
   in_.append(chunk_.data(), count);
   exchangedBytes_ += count;
+  receivedBytes_ += count;
   if (error) {
     const bool isComplete = error == asio::error::eof && reader_.headerDone() &&
                             reader_.feed(in_) != ReadState::Failed &&
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -1,11 +1,16 @@
 #include <entry/StoreClient.h>
 
+#include <algorithm>
+
 namespace sycamore::entry {
 
 namespace {
 
 // Timeout of calls to the store, which normally answers within some milliseconds.
 constexpr base::Duration kCallTimeout = base::milliseconds(700);
+// Time that a call may take while its answer arrives. A VM with a slow link needs longer than the
+// timeout for a large answer, and would read it again and again without ever having all of it.
+constexpr base::Duration kMaxCallDuration = std::chrono::seconds(3);
 // Interval between two calls while the store doesn't answer.
 constexpr base::Duration kProbeInterval = base::milliseconds(1000);
 
@@ -106,7 +111,15 @@
                        base::Duration timeout,
                        Finished finished)
 {
-  calls_.call({ store_, method, std::move(path), "", std::move(body), timeout, nullptr },
+  calls_.call({ store_,
+                method,
+                std::move(path),
+                "",
+                std::move(body),
+                timeout,
+                nullptr,
+                false,
+                std::max(timeout, kMaxCallDuration) },
               [this, finished = std::move(finished)](ExchangeResult result) {
                 // The store belongs to no failure domain.
                 bytes_.add("store", false, result.bytes);
--- a/libs/entry/tests/ObjectMirrorTest.cpp
+++ b/libs/entry/tests/ObjectMirrorTest.cpp
@@ -98,3 +98,12 @@
   REQUIRE(follower.runUntilCurrent());
   CHECK(follower.runWithChanges(std::chrono::seconds(5), milliseconds(150), kRoutes) < kApplyBound);
 }
+
+// Guards against a large object that a VM with a slow link reads again and again.
+TEST_CASE("an answer of the store is read to its end while its bytes arrive")
+{
+  Follower follower(100'000, 900);
+  CHECK(follower.runUntilCurrent());
+  // The object takes 1.5 s and was read once.
+  CHECK(follower.store().bytesSent() < 250'000);
+}
