Send changes of large objects as differences

Cause: an object over 4,000 bytes went in no message, so that every VM noticed each change of a long configuration by the next heartbeat, waited 150 ms and read all routes from the store: hundreds of kilobytes a VM and change. Change: the relaying VM sends merge patches from its last copy (RFC 7396), split into parts of a frame that lead to the new state in any order. A copy applies them when all have arrived, and only to the state on which they are based; otherwise it reads as before. Several states of one object in a watch are sent as the last one.

--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -87,6 +87,13 @@
   void watch();
   void onWatch(const StoreAnswer& answer);
   bool apply(const wire::WatchEvent& event);
+  // Returns whether the copy has the states on which the patches are based.
+  bool hasBasisOf(const std::vector<ObjectPatch>& patches) const;
+  // Applies the patches of a change all of whose parts have arrived. Returns whether the copy has
+  // changed.
+  bool applyPendingPatches();
+  // Remembers the state that the event replaces, for the difference that is relayed.
+  void keepReplaced(const wire::WatchEvent& event);
   void continueWatching(std::chrono::milliseconds delay);
   void publishChange(std::vector<wire::WatchEvent> events, std::uint64_t revision);
   // Logs that the copy has changed, and how long it had been known to lack the change.
@@ -112,6 +119,11 @@
   std::mt19937_64 random_;
   Objects objects_;
   dispatch::DeletedObjects deletedObjects_;
+  // States that the change in progress has replaced, while this VM relays.
+  std::map<std::string, wire::StoreObject> replaced_;
+  // Patches of the change to revision `patchesRevision_`, by the change's part.
+  std::map<unsigned, std::vector<ObjectPatch>> pendingPatches_;
+  std::uint64_t patchesRevision_ = 0;
   // Objects of the pages that the current list has read so far.
   Objects listedObjects_;
   dispatch::WatchCursor cursor_;
@@ -127,6 +139,8 @@
   // Whether a call, or the delay before it, is in progress.
   bool callPending_ = false;
   bool isWatching_ = false;
+  // Whether a change couldn't be applied, so that all objects must be listed.
+  bool isOutdated_ = false;
   // Whether the last read of the history failed. The history may have grown too long for a call, so
   // that the next read is a list.
   bool historyReadFailed_ = false;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -356,7 +356,14 @@
       event.object = wire::essentialServerEntry(event.object);
     }
   }
-  for (const ObjectChange& part : splitChange(essential)) {
+  const std::vector<ObjectChange> parts = splitChange(essential);
+  if (parts.empty() && !change.events.empty()) {
+    log_.write("change_not_relayed",
+               { { "kind", static_cast<int>(change.kind) },
+                 { "revision", change.part.revision },
+                 { "objects", change.events.size() } });
+  }
+  for (const ObjectChange& part : parts) {
     sendToAll(ObjectChangeMessage{ part });
   }
 }
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -61,7 +61,7 @@
   if (callPending_) {
     return;
   }
-  if (isRelay_ || relayedCopy_.mustWatchStore(now)) {
+  if (isRelay_ || isOutdated_ || relayedCopy_.mustWatchStore(now)) {
     list("");
   } else if (relayedCopy_.beginReadIfDue(now) && store_.mayCall(now)) {
     catchUp();
@@ -125,13 +125,21 @@
 void ObjectMirror::onChangePart(const ObjectChange& change)
 {
   const base::Duration behind = relayedCopy_.timeBehind(clockNow());
-  if (!relayedCopy_.onChangePart(change.part)) {
+  if (!hasBasisOf(change.patches) || !relayedCopy_.onChangePart(change.part)) {
     return;
   }
   bool changed = false;
   for (const wire::WatchEvent& event : change.events) {
     changed = apply(event) || changed;
   }
+  if (patchesRevision_ != change.part.revision) {
+    patchesRevision_ = change.part.revision;
+    pendingPatches_.clear();
+  }
+  pendingPatches_[change.part.part] = change.patches;
+  if (relayedCopy_.completeRevision() >= change.part.revision) {
+    changed = applyPendingPatches() || changed;
+  }
   lastChangeRevision_ = std::max(lastChangeRevision_, change.part.revision);
   if (changed) {
     logUpdate("relay", behind);
@@ -139,6 +147,47 @@
   }
 }
 
+bool ObjectMirror::hasBasisOf(const std::vector<ObjectPatch>& patches) const
+{
+  return std::ranges::all_of(patches, [this](const ObjectPatch& patch) {
+    const auto known = objects_.find(patch.name);
+    return known != objects_.end() &&
+           (known->second.revision == patch.previous || known->second.revision >= patch.revision);
+  });
+}
+
+bool ObjectMirror::applyPendingPatches()
+{
+  std::map<std::string, std::vector<ObjectPatch>> patchesByObject;
+  for (const auto& [part, patches] : pendingPatches_) {
+    for (const ObjectPatch& patch : patches) {
+      const auto known = objects_.find(patch.name);
+      if (known != objects_.end() && known->second.revision == patch.previous) {
+        patchesByObject[patch.name].push_back(patch);
+      }
+    }
+  }
+  pendingPatches_.clear();
+  bool changed = false;
+  for (const auto& [name, patches] : patchesByObject) {
+    try {
+      changed = apply({ applyPatches(objects_.at(name), patches), false }) || changed;
+    } catch (const wire::WireError& error) {
+      log_.write("change_unreadable", { { "error", error.what() } });
+      isOutdated_ = true;
+    }
+  }
+  return changed;
+}
+
+void ObjectMirror::keepReplaced(const wire::WatchEvent& event)
+{
+  const auto known = objects_.find(event.object.name);
+  if (isRelay_ && known != objects_.end()) {
+    replaced_.try_emplace(event.object.name, known->second);
+  }
+}
+
 void ObjectMirror::list(const std::string& after)
 {
   callPending_ = true;
@@ -179,6 +228,7 @@
   onStoreReached();
   const bool wasCatchingUp = std::exchange(isCatchingUp_, false);
   historyReadFailed_ = false;
+  isOutdated_ = false;
   // Messages that arrived during the list may have brought newer objects.
   if (listRevision_ >= lastChangeRevision_) {
     adoptList(wasCatchingUp ? "catch_up" : "list");
@@ -196,6 +246,7 @@
     const auto known = objects_.find(name);
     if (known == objects_.end() || known->second.revision != object.revision) {
       events.push_back({ object, false });
+      keepReplaced(events.back());
     }
   }
   for (const auto& [name, object] : objects_) {
@@ -239,6 +290,7 @@
     const wire::WatchPage page = wire::readEvents(answer.body);
     logUnreadable(page.unreadable);
     for (const wire::WatchEvent& event : page.events) {
+      keepReplaced(event);
       if (apply(event)) {
         events.push_back(event);
       }
@@ -267,7 +319,9 @@
 {
   const ObjectChange change{ settings_.kind,
                              { lastChangeRevision_, revision, 0, 1 },
-                             std::move(events) };
+                             std::move(events),
+                             {},
+                             std::exchange(replaced_, {}) };
   lastChangeRevision_ = std::max(lastChangeRevision_, revision);
   objectsChangedListener_(objects_);
   changeReadListener_(change);
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -147,6 +147,29 @@
                        message.delta.parts });
 }
 
+Json writePatches(const std::vector<ObjectPatch>& patches)
+{
+  Json rows = Json::array();
+  for (const ObjectPatch& patch : patches) {
+    rows.push_back(
+      { patch.name, patch.previous, patch.revision, patch.deleting, patch.mergePatch });
+  }
+  return rows;
+}
+
+std::vector<ObjectPatch> readPatches(const Json& rows)
+{
+  std::vector<ObjectPatch> patches;
+  for (const Json& row : rows) {
+    patches.push_back({ row.at(0).get<std::string>(),
+                        row.at(1).get<std::uint64_t>(),
+                        row.at(2).get<std::uint64_t>(),
+                        row.at(3).get<bool>(),
+                        row.at(4).get<std::string>() });
+  }
+  return patches;
+}
+
 Json toJson(const ObjectChangeMessage& message)
 {
   const ObjectChange& change = message.change;
@@ -164,7 +187,8 @@
                        change.part.revision,
                        change.part.part,
                        change.part.parts,
-                       std::move(events) });
+                       std::move(events),
+                       writePatches(change.patches) });
 }
 
 // Addresses are sent as numbers, which take fewer bytes than text.
@@ -254,6 +278,7 @@
     event.deleted = row.at(3).get<bool>();
     message.change.events.push_back(std::move(event));
   }
+  message.change.patches = readPatches(json.at(7));
   return message;
 }
 
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -36,6 +36,7 @@
   ObjectChangeMessage change;
   change.change.part = { 4, 5, 0, 1 };
   change.change.events = { { { "x", 5, false, "{}" }, false }, { { "y", 5, false, "" }, true } };
+  change.change.patches = { { "z", 4, 5, false, R"({"a":1})" } };
   return {
     heartbeat,
     report,
