Replace a coordinator that loses the store in time for changes

Cause: heartbeats said that the coordinator reaches the store until a call had failed, up to 1.3 s after the loss, and another VM took over 1.5 s after that. Most VMs of a large deployment are on standby and learn of a change only after the takeover: 3 s and more, beyond the time in which a configuration must be in force. Change: the coordinator asks for a confirmation each 300 ms (StoreContact) and says that it doesn't reach the store once none is younger than 900 ms; it is replaced 500 ms later. A store that answers within half a second keeps it. The rule for a coordinator that says nothing stays that of its heartbeats.

--- a/libs/dispatch/include/dispatch/CoordinatorElection.h
+++ b/libs/dispatch/include/dispatch/CoordinatorElection.h
@@ -15,8 +15,9 @@
   base::Duration heartbeatTimeout = base::milliseconds(700);
   // Additional delay per rank in the succession order, so that few VMs try at the same time.
   base::Duration rankDelay = base::milliseconds(150);
-  // Time for which the coordinator may fail to reach the store before another VM takes over.
-  base::Duration storeTimeout = base::milliseconds(1500);
+  // Time after which another VM takes over from a coordinator that says that it doesn't reach the
+  // store. Changes in the store reach most VMs only after the takeover.
+  base::Duration storeTimeout = base::milliseconds(500);
   // Minimum time between two attempts of this VM.
   base::Duration retryInterval = base::milliseconds(1000);
 };
@@ -26,7 +27,7 @@
 {
   Coordinator coordinator;
   std::uint64_t epoch = 0;
-  // Whether the coordinator's last calls to the store were answered.
+  // Whether the store has answered the coordinator recently.
   bool storeReachable = true;
   // Whether the coordinator is about to stop.
   bool leaving = false;
@@ -54,6 +55,8 @@
   std::uint64_t epoch_ = 0;
   base::TimePoint lastHeartbeatAt_;
   base::TimePoint lastStoreContactAt_;
+  // Whether the last heartbeat said that the coordinator doesn't reach the store.
+  bool hasLostStore_ = false;
   bool leaving_ = false;
   base::TimePoint nextTryAt_{};
 };
--- a/libs/dispatch/src/CoordinatorElection.cpp
+++ b/libs/dispatch/src/CoordinatorElection.cpp
@@ -20,6 +20,7 @@
   epoch_ = record.epoch;
   lastHeartbeatAt_ = now;
   lastStoreContactAt_ = now;
+  hasLostStore_ = false;
   leaving_ = false;
 }
 
@@ -31,6 +32,7 @@
   epoch_ = heartbeat.epoch;
   lastHeartbeatAt_ = now;
   leaving_ = heartbeat.leaving;
+  hasLostStore_ = !heartbeat.storeReachable;
   if (heartbeat.storeReachable) {
     lastStoreContactAt_ = now;
   }
@@ -43,7 +45,8 @@
   }
   const base::Duration wait = settings_.rankDelay * rank;
   const bool heartbeatMissed = now >= lastHeartbeatAt_ + settings_.heartbeatTimeout + wait;
-  const bool storeLost = now >= lastStoreContactAt_ + settings_.storeTimeout + wait;
+  const bool storeLost =
+    hasLostStore_ && now >= lastStoreContactAt_ + settings_.storeTimeout + wait;
   const bool leaving = leaving_ && now >= lastHeartbeatAt_ + wait;
   if (!heartbeatMissed && !storeLost && !leaving) {
     return false;
--- a/libs/dispatch/tests/CoordinatorElectionTest.cpp
+++ b/libs/dispatch/tests/CoordinatorElectionTest.cpp
@@ -1,4 +1,5 @@
 #include <dispatch/CoordinatorElection.h>
+#include <dispatch/StoreContact.h>
 
 #include <doctest/doctest.h>
 
@@ -52,6 +53,58 @@
   CHECK(tried);
 }
 
+// Guards against changes that reach the other VMs too late because the coordinator is cut off from
+// the store: a changed configuration has to be in force within 2 s.
+TEST_CASE("a coordinator that the store stops answering is replaced within 1.5 s")
+{
+  for (int phase = 0; phase < 300; phase += 20) {
+    CAPTURE(phase);
+    base::ManualClock clock;
+    CoordinatorElection election({}, clock.now());
+    StoreContact contact({}, clock.now());
+    const base::TimePoint lostAt = clock.now() + milliseconds(2000 + phase);
+    for (int i = 0; !election.shouldTryTakeover(0, true, clock.now()); ++i) {
+      if (contact.isReadDue(clock.now())) {
+        contact.onReadSent(clock.now());
+        if (clock.now() < lostAt) {
+          contact.onAnswered(clock.now());
+        }
+      }
+      if (i % 10 == 0) {
+        election.onHeartbeat({ kOtherVm, 3, contact.isRecent(clock.now()), false }, clock.now());
+      }
+      clock.advance(milliseconds(20));
+    }
+    CHECK(clock.now() >= lostAt);
+    CHECK(clock.now() - lostAt <= milliseconds(1500));
+  }
+}
+
+TEST_CASE("a coordinator keeps its role while a slow store answers within half a second")
+{
+  base::ManualClock clock;
+  CoordinatorElection election({}, clock.now());
+  StoreContact contact({}, clock.now());
+  base::TimePoint sentAt;
+  bool pending = false;
+  for (int i = 0; i < 500; ++i) {
+    if (pending && clock.now() >= sentAt + milliseconds(450)) {
+      contact.onAnswered(sentAt);
+      pending = false;
+    }
+    if (!pending && contact.isReadDue(clock.now())) {
+      contact.onReadSent(clock.now());
+      sentAt = clock.now();
+      pending = true;
+    }
+    if (i % 10 == 0) {
+      election.onHeartbeat({ kOtherVm, 3, contact.isRecent(clock.now()), false }, clock.now());
+    }
+    CHECK_FALSE(election.shouldTryTakeover(0, true, clock.now()));
+    clock.advance(milliseconds(20));
+  }
+}
+
 TEST_CASE("a leaving coordinator is replaced immediately")
 {
   base::ManualClock clock;
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -7,6 +7,7 @@
 
 #include <dispatch/KeyCoordinator.h>
 #include <dispatch/OwnershipCopy.h>
+#include <dispatch/StoreContact.h>
 
 #include <functional>
 #include <memory>
@@ -46,8 +47,6 @@
   dispatch::KeyCoordinator* coordinator() const { return coordinator_.get(); }
   // Returns the revision of the ownership record in the store.
   std::uint64_t revision() const { return revision_; }
-  // Returns whether the store answered the last confirmation or write.
-  bool storeReachable() const { return storeReachable_; }
   // Returns whether the store has answered recently enough that this VM's watches can be assumed to
   // receive changes.
   bool hasRecentStoreContact(base::TimePoint now) const;
@@ -81,9 +80,7 @@
   OtherCoordinatorListener otherCoordinatorListener_;
   std::unique_ptr<dispatch::KeyCoordinator> coordinator_;
   std::uint64_t revision_ = 0;
-  base::TimePoint nextConfirmationAt_{};
-  // Time at which the last call was sent whose answer confirmed this VM as the coordinator.
-  base::TimePoint lastConfirmationSentAt_{};
+  dispatch::StoreContact storeContact_;
   base::TimePoint nextWriteAt_{};
   bool takeoverPending_ = false;
   bool confirmationPending_ = false;
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-// Interval between two reads of the record that confirm that this VM still is the coordinator. They
-// also show that its watches receive changes.
-constexpr base::Duration kConfirmationInterval = base::milliseconds(600);
-// Time for which a confirmation counts: the interval, plus time for a slow answer.
-constexpr base::Duration kConfirmationValidity = base::milliseconds(900);
 // Delay before an unanswered write is retried.
 constexpr base::Duration kWriteRetryDelay = base::milliseconds(200);
 // Timeout of a release. It is longer than the timeout of other calls to servers because a release
@@ -42,6 +37,7 @@
   , self_(std::move(self))
   , recordConfirmedListener_(std::move(recordConfirmedListener))
   , otherCoordinatorListener_(std::move(otherCoordinatorListener))
+  , storeContact_({}, clockNow())
 {
 }
 
@@ -131,8 +127,7 @@
   recordChanged_ = false;
   confirmationPending_ = false;
   storeReachable_ = true;
-  nextConfirmationAt_ = now + kConfirmationInterval;
-  lastConfirmationSentAt_ = now;
+  storeContact_ = dispatch::StoreContact({}, now);
   log_.write(
     "coordinator_began",
     { { "epoch", record.epoch },
@@ -160,7 +155,7 @@
   if (!active()) {
     return;
   }
-  if (now >= nextConfirmationAt_ && !confirmationPending_) {
+  if (storeContact_.isReadDue(now) && !confirmationPending_) {
     requestConfirmation();
   }
   const dispatch::CoordinatorActions actions = coordinator_->tick(now);
@@ -230,7 +225,7 @@
 {
   confirmationPending_ = true;
   const base::TimePoint sentAt = clockNow();
-  nextConfirmationAt_ = sentAt + kConfirmationInterval;
+  storeContact_.onReadSent(sentAt);
   store_.read(wire::Kind::Ownership,
               wire::kOwnershipName,
               wire::ReadConsistency::Current,
@@ -263,14 +258,13 @@
 
 void CoordinatorRole::recordConfirmation(base::TimePoint sentAt)
 {
-  lastConfirmationSentAt_ = std::max(lastConfirmationSentAt_, sentAt);
-  nextConfirmationAt_ = std::max(nextConfirmationAt_, sentAt + kConfirmationInterval);
+  storeContact_.onAnswered(sentAt);
   coordinator_->onCoordinatorConfirmed(sentAt);
 }
 
 bool CoordinatorRole::hasRecentStoreContact(base::TimePoint now) const
 {
-  return storeReachable_ && now < lastConfirmationSentAt_ + kConfirmationValidity;
+  return storeReachable_ && storeContact_.isRecent(now);
 }
 
 void CoordinatorRole::sendGrant(const dispatch::GrantOrder& order)
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -625,7 +625,7 @@
   HeartbeatMessage message;
   message.heartbeat = { self_,
                         coordinatorRole_.coordinator()->record().epoch,
-                        coordinatorRole_.storeReachable(),
+                        coordinatorRole_.hasRecentStoreContact(now),
                         leaving_ || isHandingOver() };
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
