Don't count a read as begun that may not be called yet

Cause: while the store is probed once a second for all kinds, a due read of a missing change was counted as begun although it wasn't sent, and came 500 ms later than it could. Found by reading; no test of its own.

--- a/libs/dispatch/include/dispatch/RelayedCopy.h
+++ b/libs/dispatch/include/dispatch/RelayedCopy.h
@@ -84,6 +84,9 @@
     return now >= (isStandby_ ? standbyTimeoutAt_ : relayTimeoutAt_);
   }
 
+  // Returns whether beginReadIfDue() would start a read.
+  bool isReadDue(base::TimePoint now) const;
+
   // Returns whether to read all objects now because the messages of an announced change didn't
   // arrive. If so, the read counts as started.
   bool beginReadIfDue(base::TimePoint now);
--- a/libs/dispatch/src/RelayedCopy.cpp
+++ b/libs/dispatch/src/RelayedCopy.cpp
@@ -40,9 +40,14 @@
   lag_.advanceComplete(revision);
 }
 
+bool RelayedCopy::isReadDue(base::TimePoint now) const
+{
+  return lag_.isOverdue(settings_.changeArrivalTimeout, now) && now >= nextReadAt_;
+}
+
 bool RelayedCopy::beginReadIfDue(base::TimePoint now)
 {
-  if (!lag_.isOverdue(settings_.changeArrivalTimeout, now) || now < nextReadAt_) {
+  if (!isReadDue(now)) {
     return false;
   }
   nextReadAt_ = now + settings_.readInterval;
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -63,7 +63,8 @@
   }
   if (isRelay_ || isOutdated_ || relayedCopy_.mustWatchStore(now)) {
     list("");
-  } else if (relayedCopy_.beginReadIfDue(now) && store_.mayCall(now)) {
+  } else if (relayedCopy_.isReadDue(now) && store_.mayCall(now)) {
+    relayedCopy_.beginReadIfDue(now);
     catchUp();
   }
 }
