Keep the limits that servers name, by permits of the coordinator

What callers and servers saw: a server that had named a limit got several times as many requests (LIMIT). Cause: a missing part. Nothing read the header, so that a limit was no input of any decision. Change: a request to such a server needs a permit. The coordinator issues them from a token bucket for each server (PermitIssuer), so that the sum over all VMs keeps the limit however their traffic is distributed; RequestPermits decides on each VM. Placement takes the limit as the server's capacity. The part of KeyCoordinatorTest that lifts a limit holds too.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -8,6 +8,7 @@
 #include <dispatch/KeyRates.h>
 #include <dispatch/OwnershipRecord.h>
 #include <dispatch/RangePlacement.h>
+#include <dispatch/RequestLimit.h>
 #include <dispatch/WorkMean.h>
 
 #include <cstdint>
@@ -140,6 +141,8 @@
   void setServers(const std::map<base::ServerId, BackendServer>& servers, base::TimePoint now);
   void setServices(const std::map<base::ServiceId, ServicePolicy>& services);
   void setDomainsOut(const std::set<base::DomainId>& domains);
+  // Sets the servers that name a limit in their answers.
+  void setLimits(const std::vector<LimitedServer>& limited);
 
   // Record the requests that an entry VM counted by key, and the time that requests took in slots
   // of a server.
@@ -276,6 +279,7 @@
   std::map<base::ServerId, BackendServer> servers_;
   std::map<base::ServerId, WorkMean> work_;
   std::set<base::DomainId> domainsOut_;
+  std::map<base::ServerId, LimitedServer> limited_;
   std::map<std::string, Incarnation> incarnations_;
   // Time at which every previous coordinator has stopped granting.
   base::TimePoint previousCoordinatorsStopAt_;
--- a/libs/dispatch/include/dispatch/RoutingView.h
+++ b/libs/dispatch/include/dispatch/RoutingView.h
@@ -3,11 +3,13 @@
 #include <dispatch/BackendServer.h>
 #include <dispatch/Configuration.h>
 #include <dispatch/OwnershipRecord.h>
+#include <dispatch/RequestLimit.h>
 
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace sycamore::dispatch {
 
@@ -20,6 +22,8 @@
   std::shared_ptr<const OwnershipRecord> ownership;
   // Failure domains that operators have taken out of service.
   std::set<base::DomainId> domainsOut;
+  // Servers that name a limit in their answers.
+  std::vector<LimitedServer> limitedServers;
   // Number of live entry VMs, including this one.
   std::size_t entryVms = 1;
 
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -66,6 +66,14 @@
   services_ = services;
 }
 
+void KeyCoordinator::setLimits(const std::vector<LimitedServer>& limited)
+{
+  limited_.clear();
+  for (const LimitedServer& entry : limited) {
+    limited_[entry.server.id] = entry;
+  }
+}
+
 void KeyCoordinator::setDomainsOut(const std::set<base::DomainId>& domains)
 {
   domainsOut_ = domains;
@@ -366,6 +374,11 @@
     if (now < server.coldUntil && policy != services_.end()) {
       entry.rateLimit = policy->second.coldRate;
     }
+    const auto limited = limited_.find(id);
+    if (limited != limited_.end() && limited->second.server.born == server.born) {
+      const double perSecond = limited->second.limit.perSecond;
+      entry.rateLimit = entry.rateLimit > 0 ? std::min(entry.rateLimit, perSecond) : perSecond;
+    }
     index[id] = result.size();
     result.push_back(entry);
   }
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -283,6 +283,39 @@
   CHECK(owners.size() >= 3);
 }
 
+// Guards against callers who are refused for as long as a server takes less than its keys bring.
+TEST_CASE("keys move away from a server that names a limit until the rest stays within it")
+{
+  constexpr double kRate = 60;
+  constexpr double kLimit = 3;
+  CoordinatorFixture fixture(6);
+  fixture.run(seconds(5));
+  const auto runWithLoad = [&fixture](int tenths) {
+    for (int i = 0; i < tenths; ++i) {
+      fixture.recordEvenLoad(static_cast<unsigned>(kRate / 10));
+      fixture.run(milliseconds(100));
+      fixture.checkSingleHolder();
+    }
+  };
+  runWithLoad(40);
+  const base::ServerId limited = fixture.ranges().front().owner;
+  const std::int64_t born = fixture.ranges().front().born;
+  const auto rateOf = [&fixture](const base::ServerId& server) {
+    double keys = 0;
+    for (const KeyRange& range : fixture.ranges()) {
+      keys += range.owner == server ? range.to - range.from + 1.0 : 0.0;
+    }
+    return kRate * keys / (kLastKey + 1.0);
+  };
+  REQUIRE(rateOf(limited) > 2 * kLimit);
+  fixture.coordinator().setLimits({ { { limited, born }, { kLimit } } });
+  runWithLoad(60);
+  CHECK(rateOf(limited) <= kLimit);
+  fixture.coordinator().setLimits({});
+  runWithLoad(100);
+  CHECK(rateOf(limited) > kLimit);
+}
+
 // Guards against rebalancing too slowly in a large deployment: with three concurrent moves it took
 // longer than the keys stay busy.
 TEST_CASE("busy keys in many places are spread within seconds among many servers")
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -60,6 +60,10 @@
   // Answers by which servers asked for a pause, and requests that were refused because of one.
   std::uint64_t serverPauses = 0;
   std::uint64_t refusedPaused = 0;
+  // Requests that used a permit of a server with a limit, and those that were refused for lack of
+  // one.
+  std::uint64_t permitsUsed = 0;
+  std::uint64_t refusedAtLimit = 0;
 };
 
 class RequestHandler;
@@ -77,6 +81,12 @@
   // Notified of each server that has said in an answer that it leaves.
   using LeavingListener = std::function<void(const dispatch::ServerIncarnation&)>;
 
+  // Notified of each answer that named a limit, or named none though the server had one.
+  using LimitListener =
+    std::function<void(const dispatch::ServerIncarnation&, std::optional<dispatch::RequestLimit>)>;
+  // Notified when permits are needed; onPermitGrant() brings the answer.
+  using PermitListener = std::function<void(const dispatch::LimitedServer&, unsigned wanted)>;
+
   Dispatcher(asio::io_context& context,
              const dispatch::EntrySettings& settings,
              EventLog& log,
@@ -88,6 +98,12 @@
     connectionBreakListener_ = std::move(listener);
   }
   void setLeavingListener(LeavingListener listener) { leavingListener_ = std::move(listener); }
+  void setLimitListeners(LimitListener limitListener, PermitListener permitListener)
+  {
+    limitListener_ = std::move(limitListener);
+    permitListener_ = std::move(permitListener);
+  }
+  void onPermitGrant(const dispatch::ServerIncarnation& server, const dispatch::PermitGrant& grant);
   void onRemoteConnectionBreak(std::uint64_t digest, const std::string& serverIncarnation);
 
   // The entry VMs of this failure domain have shared their use of the servers.
@@ -126,8 +142,12 @@
     std::uint64_t* counter = nullptr;
     // The server whose load or state was the reason, if any.
     std::shared_ptr<ServerPool> decidingServer = nullptr;
+    // Whether a permit has been asked for, so that the choice should be made again soon.
+    bool awaitsPermit = false;
   };
 
+  void updatePools();
+  void updateLimits();
   Choice chooseOwner(const RequestHandler& request, base::TimePoint now);
   Choice chooseAny(const RequestHandler& request, base::TimePoint now);
   // Chooses the server with the lowest cost that has room. Without one, the choice names the server
@@ -156,6 +176,16 @@
   // time.
   void onServerLeaving(ServerPool& pool);
   void onServerPaused(ServerPool& pool, base::Duration pause);
+  // An executed answer to a request sent at `sentAt` named this limit, or none.
+  void onLimitAnswer(ServerPool& pool,
+                     std::optional<dispatch::RequestLimit> limit,
+                     base::TimePoint sentAt);
+  // Takes a permit for a request, or asks for one.
+  dispatch::PermitDecision tryTakePermit(ServerPool& pool, base::TimePoint now);
+  // Returns the choice for a request for which there is no permit.
+  Choice choiceWithoutPermit(const std::shared_ptr<ServerPool>& pool,
+                             bool awaitsPermit,
+                             base::TimePoint now);
   bool tryTakeColdStartShare(ServerPool& pool, base::TimePoint now);
   std::shared_ptr<ServerPool> poolOf(const base::ServerId& id);
   std::size_t connectionLimit(const ServerPool& pool) const;
@@ -177,6 +207,8 @@
   dispatch::CrashSuspects suspects_;
   ConnectionBreakListener connectionBreakListener_;
   LeavingListener leavingListener_;
+  LimitListener limitListener_;
+  PermitListener permitListener_;
   // Set once the process has been told to stop.
   std::optional<dispatch::ShutdownPlan> shutdown_;
   TrafficReport report_;
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -4,6 +4,7 @@
 #include <entry/ControlStatus.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
+#include <entry/LimitSharing.h>
 #include <entry/LoadSharing.h>
 #include <entry/ObjectMirror.h>
 #include <entry/PeerLink.h>
@@ -21,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sycamore::entry {
@@ -41,7 +43,8 @@
                std::uint64_t run,
                Publish publish,
                RemoteBreakListener remoteBreakListener,
-               LoadSharing::SummaryListener sharedLoadListener);
+               LoadSharing::SummaryListener sharedLoadListener,
+               LimitSharing::GrantListener permitListener);
 
   void start();
 
@@ -51,6 +54,12 @@
   // Servers have said in answers to this VM or another one that they leave.
   void onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers);
 
+  // An answer to this VM named this limit, or none where there was one.
+  void onServerLimit(const dispatch::ServerIncarnation& server,
+                     std::optional<dispatch::RequestLimit> limit);
+  // This VM needs permits for requests to a server with a limit.
+  void requestPermits(const dispatch::LimitedServer& limited, unsigned wanted);
+
   // Prepares for the end of the process, so that another VM becomes the coordinator.
   void beginDrain();
 
@@ -92,6 +101,7 @@
                                  base::TimePoint now);
   void sendReport();
   void updateCoordinator();
+  void updateLimits(base::TimePoint now);
   void recordForCoordinator(const std::map<base::ServiceId, dispatch::KeyCounts>& keys,
                             const std::map<base::ServerId, dispatch::WorkSample>& work);
   void publish();
@@ -107,6 +117,7 @@
   StoreClient store_;
   PeerLink peerLink_;
   LoadSharing loadSharing_;
+  LimitSharing limitSharing_;
   CoordinatorRole coordinatorRole_;
   dispatch::CoordinatorElection election_;
   ObjectMirror configurationMirror_;
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -7,6 +7,7 @@
 #include <dispatch/LeavingServers.h>
 #include <dispatch/LoadAggregator.h>
 #include <dispatch/OwnershipCopy.h>
+#include <dispatch/PermitIssuer.h>
 #include <dispatch/WorkMean.h>
 
 #include <cstdint>
@@ -44,6 +45,8 @@
   // Registered servers that have said in an answer that they leave. Each message repeats them,
   // since any may be lost; at most some dozens are sent.
   std::vector<dispatch::ServerIncarnation> leavingServers;
+  // Servers that name a limit in their answers.
+  std::vector<dispatch::LimitedServer> limitedServers;
   // IP address of the VM that aggregates the load for the receiver's failure domain; empty if none
   // is known.
   std::string loadAggregator;
@@ -113,6 +116,28 @@
   dispatch::LoadSummary summary;
 };
 
+// Message from an entry VM to the coordinator: an answer of a server named a limit, or the answer
+// of a limited server named none.
+struct ServerLimitMessage
+{
+  dispatch::ServerIncarnation server;
+  std::optional<dispatch::RequestLimit> limit;
+};
+
+// Message from an entry VM to the coordinator that asks for permits to send requests to a server.
+struct PermitRequestMessage
+{
+  dispatch::LimitedServer limited;
+  unsigned wanted = 1;
+};
+
+// The coordinator's answer to a PermitRequestMessage.
+struct PermitGrantMessage
+{
+  dispatch::ServerIncarnation server;
+  dispatch::PermitGrant grant;
+};
+
 using PeerMessage = std::variant<HeartbeatMessage,
                                  ReportMessage,
                                  CoordinatorStoppedMessage,
@@ -120,7 +145,10 @@
                                  ObjectChangeMessage,
                                  ForwardMessage,
                                  ServerUseMessage,
-                                 LoadSummaryMessage>;
+                                 LoadSummaryMessage,
+                                 ServerLimitMessage,
+                                 PermitRequestMessage,
+                                 PermitGrantMessage>;
 
 // Convert a message to the bytes of a datagram and back. Decoding returns nothing if the bytes
 // aren't a message.
--- a/libs/entry/include/entry/RequestHandler.h
+++ b/libs/entry/include/entry/RequestHandler.h
@@ -75,6 +75,8 @@
   bool answeredByServer_ = false;
   std::shared_ptr<ServerConnection> connection_;
   base::TimePoint sentAt_;
+  // Time until which the answer to a question for a permit is awaited; unset before the first.
+  base::TimePoint permitWaitEndsAt_{};
   // Number of times that the request was sent to a server, including those that the server refused.
   unsigned sends_ = 0;
   unsigned failedConnections_ = 0;
--- a/libs/entry/include/entry/ServerPool.h
+++ b/libs/entry/include/entry/ServerPool.h
@@ -5,6 +5,7 @@
 #include <dispatch/BackendServer.h>
 #include <dispatch/ColdStartShare.h>
 #include <dispatch/RequestPause.h>
+#include <dispatch/RequestPermits.h>
 #include <dispatch/ServerLoad.h>
 #include <dispatch/TrialSchedule.h>
 
@@ -35,6 +36,7 @@
   dispatch::ColdStartShare& coldStart() { return coldStart_; }
   dispatch::TrialSchedule& trialSchedule() { return trialSchedule_; }
   dispatch::RequestPause& pause() { return pause_; }
+  dispatch::RequestPermits& permits() { return permits_; }
 
   // Requests in flight as last reported to the other entry VMs.
   unsigned reportedInFlight() const { return reportedInFlight_; }
@@ -63,6 +65,7 @@
   dispatch::ColdStartShare coldStart_;
   dispatch::TrialSchedule trialSchedule_;
   dispatch::RequestPause pause_;
+  dispatch::RequestPermits permits_;
   IdleConnections idleConnections_;
   std::size_t inUse_ = 0;
   unsigned reportedInFlight_ = 0;
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -24,6 +24,7 @@
 // Retry delays of refusals other than those for lack of room.
 constexpr base::Duration kNoOwnerRetryDelay = base::milliseconds(150);
 constexpr base::Duration kColdStartRetryDelay = base::milliseconds(200);
+constexpr base::Duration kLimitRetryDelay = base::milliseconds(100);
 // Reason of refusals while servers want no requests.
 constexpr const char* kPausedReason = "the server wants no requests for a time";
 // Fractions of the process's memory that requests and answers may take as received. Each is copied
@@ -53,10 +54,18 @@
     routes_ = std::make_unique<dispatch::RouteTable>(view->configuration);
   }
   const bool serversChanged = view->servers != view_->servers;
+  const bool limitsChanged = view->limitedServers != view_->limitedServers;
   view_ = std::move(view);
-  if (!serversChanged || !view_->servers) {
-    return;
+  if (serversChanged && view_->servers) {
+    updatePools();
+  }
+  if (serversChanged || limitsChanged) {
+    updateLimits();
   }
+}
+
+void Dispatcher::updatePools()
+{
   std::erase_if(pools_, [this](const auto& entry) {
     const auto found = view_->servers->find(entry.first);
     const dispatch::BackendServer& poolServer = entry.second->server();
@@ -79,6 +88,27 @@
   }
 }
 
+void Dispatcher::updateLimits()
+{
+  const base::TimePoint now = clockNow();
+  for (const auto& [id, pool] : pools_) {
+    const dispatch::ServerIncarnation server{ id, pool->server().born };
+    const auto found =
+      std::ranges::find(view_->limitedServers, server, &dispatch::LimitedServer::server);
+    const bool isLimited = found != view_->limitedServers.end();
+    pool->permits().setSharedLimit(isLimited ? std::optional(found->limit) : std::nullopt, now);
+  }
+}
+
+void Dispatcher::onPermitGrant(const dispatch::ServerIncarnation& server,
+                               const dispatch::PermitGrant& grant)
+{
+  const auto pool = poolOf(server.id);
+  if (pool && pool->server().born == server.born) {
+    pool->permits().onGrant(grant, clockNow());
+  }
+}
+
 void Dispatcher::onRemoteConnectionBreak(std::uint64_t digest, const std::string& serverIncarnation)
 {
   suspects_.onConnectionBroken(digest, serverIncarnation, clockNow());
@@ -234,6 +264,50 @@
   pool.pause().onTurnedAway(pause, now);
 }
 
+void Dispatcher::onLimitAnswer(ServerPool& pool,
+                               std::optional<dispatch::RequestLimit> limit,
+                               base::TimePoint sentAt)
+{
+  const bool wasLimited = pool.permits().limit().has_value();
+  const bool mustReport = pool.permits().onAnswer(limit, sentAt, clockNow());
+  if (limit && !wasLimited) {
+    log_.write("server_named_limit",
+               { { "id", pool.server().id.value() },
+                 { "born", pool.server().born },
+                 { "per_second", limit->perSecond } });
+  }
+  if (mustReport && limitListener_) {
+    limitListener_({ pool.server().id, pool.server().born }, limit);
+  }
+}
+
+dispatch::PermitDecision Dispatcher::tryTakePermit(ServerPool& pool, base::TimePoint now)
+{
+  if (!pool.permits().limit()) {
+    return dispatch::PermitDecision::Send;
+  }
+  const dispatch::PermitDecision decision = pool.permits().tryTake(view_->entryVms, now);
+  if (decision == dispatch::PermitDecision::Send) {
+    ++counts_.permitsUsed;
+  } else if (decision == dispatch::PermitDecision::Ask && permitListener_) {
+    permitListener_({ { pool.server().id, pool.server().born }, *pool.permits().limit() },
+                    pool.permits().wanted());
+  }
+  return decision;
+}
+
+Dispatcher::Choice Dispatcher::choiceWithoutPermit(const std::shared_ptr<ServerPool>& pool,
+                                                   bool awaitsPermit,
+                                                   base::TimePoint now)
+{
+  Choice choice = refusal("the server gets as many requests as it takes",
+                          std::max(kLimitRetryDelay, pool->permits().retryIn(now)),
+                          counts_.refusedAtLimit,
+                          pool);
+  choice.awaitsPermit = awaitsPermit;
+  return choice;
+}
+
 bool Dispatcher::tryTakeColdStartShare(ServerPool& pool, base::TimePoint now)
 {
   if (now >= pool.server().coldUntil) {
@@ -277,6 +351,10 @@
     priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
     return { nullptr, "the key's owner has no room", *retryDelay, &counts_.refusedNoRoom, pool };
   }
+  const dispatch::PermitDecision permit = tryTakePermit(*pool, now);
+  if (permit != dispatch::PermitDecision::Send) {
+    return choiceWithoutPermit(pool, permit != dispatch::PermitDecision::Refuse, now);
+  }
   if (!tryTakeColdStartShare(*pool, now)) {
     return refusal("the key's owner is in its cold start and at its request rate limit",
                    kColdStartRetryDelay,
@@ -319,16 +397,22 @@
   rest.insert(rest.end(), otherRest.begin(), otherRest.end());
 
   std::optional<Choice> busy;
+  std::optional<Choice> withoutPermit;
   for (const auto* pools : { &compared, &rest }) {
     const Choice choice = chooseAmong(*pools, request, now);
     if (choice.pool) {
       priorityThrottles_[request.service()].onRequestSent(request.route().priority, now);
       return choice;
     }
-    if (choice.decidingServer && (!busy || choice.retryAfter < busy->retryAfter)) {
+    if (choice.counter == &counts_.refusedAtLimit) {
+      withoutPermit = withoutPermit && withoutPermit->awaitsPermit ? withoutPermit : choice;
+    } else if (choice.decidingServer && (!busy || choice.retryAfter < busy->retryAfter)) {
       busy = choice;
     }
   }
+  if (withoutPermit && (withoutPermit->awaitsPermit || !busy)) {
+    return *withoutPermit;
+  }
   if (busy) {
     priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
     return *busy;
@@ -368,14 +452,26 @@
   }
   std::ranges::sort(candidates, {}, &Candidate::cost);
   std::optional<base::Duration> retryDelay;
+  std::optional<Choice> withoutPermit;
   for (const Candidate& candidate : candidates) {
     const auto refused = retryDelayIfRefused(request, candidate.expected, now);
     if (refused) {
       retryDelay = retryDelay ? std::min(*retryDelay, *refused) : refused;
+      continue;
+    }
+    const dispatch::PermitDecision permit = tryTakePermit(*candidate.pool, now);
+    if (permit != dispatch::PermitDecision::Send) {
+      const bool awaitsPermit = permit != dispatch::PermitDecision::Refuse;
+      if (!withoutPermit || (awaitsPermit && !withoutPermit->awaitsPermit)) {
+        withoutPermit = choiceWithoutPermit(candidate.pool, awaitsPermit, now);
+      }
     } else if (tryTakeColdStartShare(*candidate.pool, now)) {
       return { candidate.pool, "", {}, nullptr };
     }
   }
+  if (withoutPermit && (withoutPermit->awaitsPermit || !retryDelay)) {
+    return *withoutPermit;
+  }
   if (!retryDelay) {
     return {};
   }
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -33,6 +33,9 @@
 constexpr std::uint64_t kControlMemoryShare = 4;
 // Time allowed for the reports of all VMs to arrive before a handover is considered.
 constexpr base::Duration kHandoverDelay = base::milliseconds(1000);
+// Time for which a previous coordinator may still give out permits: until its last confirmation by
+// the store has become too old.
+constexpr base::Duration kIssuerOverlap = base::milliseconds(1500);
 // Maximum number of broken connections reported in one message.
 constexpr std::size_t kMaxPendingConnectionBreaks = 32;
 
@@ -51,7 +54,8 @@
                            std::uint64_t run,
                            Publish publish,
                            RemoteBreakListener remoteBreakListener,
-                           LoadSharing::SummaryListener sharedLoadListener)
+                           LoadSharing::SummaryListener sharedLoadListener,
+                           LimitSharing::GrantListener permitListener)
   : settings_(settings)
   , log_(log)
   , publish_(std::move(publish))
@@ -65,6 +69,7 @@
       bytes_,
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
   , loadSharing_(peerLink_, settings.ip, std::move(sharedLoadListener))
+  , limitSharing_(peerLink_, log, std::move(permitListener))
   , coordinatorRole_(
       calls_,
       store_,
@@ -178,6 +183,17 @@
   publish();
 }
 
+void EntryControl::onServerLimit(const dispatch::ServerIncarnation& server,
+                                 std::optional<dispatch::RequestLimit> limit)
+{
+  limitSharing_.onAnswer(server, limit, clockNow());
+}
+
+void EntryControl::requestPermits(const dispatch::LimitedServer& limited, unsigned wanted)
+{
+  limitSharing_.requestPermits({ limited, wanted }, clockNow());
+}
+
 void EntryControl::beginDrain()
 {
   leaving_ = true;
@@ -321,6 +337,7 @@
     }
   }
   leavingServers_.apply(*servers);
+  limitSharing_.retain(*servers);
   serverRevisions_ = std::move(revisions);
   view_.servers = std::move(servers);
   publish();
@@ -458,6 +475,12 @@
     loadSharing_.onUseMessage(*use, from);
   } else if (const auto* load = std::get_if<LoadSummaryMessage>(&message)) {
     loadSharing_.onSummaryMessage(*load, from);
+  } else if (const auto* limit = std::get_if<ServerLimitMessage>(&message)) {
+    limitSharing_.onMessage(*limit, clockNow());
+  } else if (const auto* request = std::get_if<PermitRequestMessage>(&message)) {
+    limitSharing_.onMessage(*request, { from, false }, clockNow());
+  } else if (const auto* grant = std::get_if<PermitGrantMessage>(&message)) {
+    limitSharing_.onMessage(*grant);
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
     // Only the direct predecessor knows when all coordinators before it stop granting.
     if (coordinatorRole_.active() &&
@@ -500,6 +523,7 @@
     remoteBreakListener_(connectionBreak);
   }
   onServersLeaving(message.leavingServers);
+  limitSharing_.onList(message.limitedServers, clockNow());
   setEntryVms(message.entryVms);
   loadSharing_.setAggregator(message.loadAggregator);
   if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
@@ -567,6 +591,7 @@
     sendHeartbeats(now);
     nextHeartbeatAt_ = now + kHeartbeatInterval;
   }
+  updateLimits(now);
   if (!coordinatorRole_.active() && ownership_.beginReadIfDue(now) && store_.mayCall(now)) {
     readOwnership();
   }
@@ -632,6 +657,7 @@
   message.connectionBreaks = std::move(pendingConnectionBreaks_);
   pendingConnectionBreaks_.clear();
   message.leavingServers = leavingServers_.registered();
+  message.limitedServers = limitSharing_.list();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
   for (const ObjectMirror* mirror : mirrors_) {
     message.isRelay = message.isRelay && mirror->isWatching();
@@ -713,6 +739,24 @@
     coordinatorRole_.coordinator()->setServices(view_.configuration->services);
     coordinatorRole_.coordinator()->setServers(*view_.servers, clockNow());
     coordinatorRole_.coordinator()->setDomainsOut(view_.domainsOut);
+    coordinatorRole_.coordinator()->setLimits(view_.limitedServers);
+  }
+}
+
+void EntryControl::updateLimits(base::TimePoint now)
+{
+  if (view_.ownership) {
+    const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
+    limitSharing_.setCoordinator(
+      PeerAddress{ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
+  }
+  const bool isSoleIssuer = coordinatorRole_.active() &&
+                            now >= coordinatorSince_ + kIssuerOverlap &&
+                            coordinatorRole_.hasRecentStoreContact(now);
+  limitSharing_.setRole(coordinatorRole_.active(), isSoleIssuer, now);
+  if (limitSharing_.takeChange()) {
+    view_.limitedServers = limitSharing_.list();
+    publish();
   }
 }
 
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -23,8 +23,12 @@
 constexpr int kForward = 6;
 constexpr int kServerUse = 7;
 constexpr int kLoadSummary = 8;
+constexpr int kServerLimit = 9;
+constexpr int kPermitRequest = 10;
+constexpr int kPermitGrant = 11;
 // Maximum number of leaving servers in a message.
 constexpr std::size_t kMaxLeavingServers = 24;
+constexpr std::size_t kMaxLimitedServers = 24;
 
 // Durations are sent in whole milliseconds, which take few bytes.
 std::int64_t toMilliseconds(base::Duration duration)
@@ -63,16 +67,48 @@
   return rows;
 }
 
+dispatch::ServerIncarnation readIncarnation(const Json& row)
+{
+  return { base::ServerId(row.at(0).get<std::string>()), row.at(1).get<std::int64_t>() };
+}
+
 std::vector<dispatch::ServerIncarnation> readIncarnations(const Json& rows)
 {
   std::vector<dispatch::ServerIncarnation> incarnations;
   for (const Json& row : rows) {
-    incarnations.push_back(
-      { base::ServerId(row.at(0).get<std::string>()), row.at(1).get<std::int64_t>() });
+    incarnations.push_back(readIncarnation(row));
   }
   return incarnations;
 }
 
+// Writes at most as many servers as fit into a datagram beside the rest of its message.
+Json writeLimitedServers(const std::vector<dispatch::LimitedServer>& servers)
+{
+  Json rows = Json::array();
+  for (const dispatch::LimitedServer& limited : servers) {
+    if (rows.size() == kMaxLimitedServers) {
+      break;
+    }
+    rows.push_back({ limited.server.id.value(), limited.server.born, limited.limit.perSecond });
+  }
+  return rows;
+}
+
+dispatch::LimitedServer readLimitedServer(const Json& row)
+{
+  const auto limit = dispatch::usableLimit(row.at(2).get<double>());
+  return { readIncarnation(row), limit.value_or(dispatch::RequestLimit{}) };
+}
+
+std::vector<dispatch::LimitedServer> readLimitedServers(const Json& rows)
+{
+  std::vector<dispatch::LimitedServer> servers;
+  for (const Json& row : rows) {
+    servers.push_back(readLimitedServer(row));
+  }
+  return servers;
+}
+
 Json toJson(const HeartbeatMessage& message)
 {
   const dispatch::CoordinatorHeartbeat& heartbeat = message.heartbeat;
@@ -90,7 +126,8 @@
                        message.isRelay,
                        message.lastChangeRevisions,
                        message.loadAggregator,
-                       writeIncarnations(message.leavingServers) });
+                       writeIncarnations(message.leavingServers),
+                       writeLimitedServers(message.limitedServers) });
 }
 
 Json toJson(const ReportMessage& message)
@@ -261,6 +298,51 @@
   return message;
 }
 
+Json toJson(const ServerLimitMessage& message)
+{
+  return Json::array({ kServerLimit,
+                       message.server.id.value(),
+                       message.server.born,
+                       message.limit ? Json(message.limit->perSecond) : Json() });
+}
+
+ServerLimitMessage readServerLimit(const Json& json)
+{
+  ServerLimitMessage message;
+  message.server = { base::ServerId(json.at(1).get<std::string>()),
+                     json.at(2).get<std::int64_t>() };
+  if (!json.at(3).is_null()) {
+    message.limit = dispatch::usableLimit(json.at(3).get<double>());
+  }
+  return message;
+}
+
+Json toJson(const PermitRequestMessage& message)
+{
+  return Json::array({ kPermitRequest, writeLimitedServers({ message.limited }), message.wanted });
+}
+
+PermitRequestMessage readPermitRequest(const Json& json)
+{
+  return { readLimitedServer(json.at(1).at(0)), json.at(2).get<unsigned>() };
+}
+
+Json toJson(const PermitGrantMessage& message)
+{
+  return Json::array({ kPermitGrant,
+                       message.server.id.value(),
+                       message.server.born,
+                       message.grant.count,
+                       toMilliseconds(message.grant.retryIn) });
+}
+
+PermitGrantMessage readPermitGrant(const Json& json)
+{
+  return { { base::ServerId(json.at(1).get<std::string>()), json.at(2).get<std::int64_t>() },
+           { json.at(3).get<unsigned>(),
+             std::chrono::milliseconds(json.at(4).get<std::int64_t>()) } };
+}
+
 ObjectChangeMessage readObjectChange(const Json& json)
 {
   ObjectChangeMessage message;
@@ -316,6 +398,7 @@
   message.lastChangeRevisions = json.at(12).get<std::vector<std::uint64_t>>();
   message.loadAggregator = json.at(13).get<std::string>();
   message.leavingServers = readIncarnations(json.at(14));
+  message.limitedServers = readLimitedServers(json.at(15));
   return message;
 }
 
@@ -376,6 +459,12 @@
         return readServerUse(json);
       case kLoadSummary:
         return readLoadSummary(json);
+      case kServerLimit:
+        return readServerLimit(json);
+      case kPermitRequest:
+        return readPermitRequest(json);
+      case kPermitGrant:
+        return readPermitGrant(json);
       default:
         return std::nullopt;
     }
@@ -387,8 +476,10 @@
 const char* kindNameOf(const PeerMessage& message)
 {
   // In the order of the variant's alternatives.
-  constexpr std::array kNames{ "heartbeat",     "report",  "coordinator_stopped", "ownership_delta",
-                               "object_change", "forward", "server_use",          "load_summary" };
+  constexpr std::array kNames{ "heartbeat",       "report",        "coordinator_stopped",
+                               "ownership_delta", "object_change", "forward",
+                               "server_use",      "load_summary",  "server_limit",
+                               "permit_request",  "permit_grant" };
   static_assert(kNames.size() == std::variant_size_v<PeerMessage>);
   return kNames.at(message.index());
 }
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -17,6 +17,10 @@
 constexpr base::Duration kGrantRetryDelay = base::milliseconds(40);
 // Delay before a request is sent to the same server again.
 constexpr base::Duration kResendDelay = base::milliseconds(5);
+// Time for which a request waits for a permit to send it, and the delay between two looks. A permit
+// arrives within a few milliseconds.
+constexpr base::Duration kPermitTimeout = base::milliseconds(60);
+constexpr base::Duration kPermitPollDelay = base::milliseconds(4);
 // Retry delays for callers: while servers have no room or can't be reached, and while this VM has
 // no configuration.
 constexpr base::Duration kServerFullRetryDelay = base::milliseconds(80);
@@ -132,6 +136,14 @@
   const bool isKeyed = dispatcher_.isKeyed(service_);
   const Dispatcher::Choice choice = isKeyed && metadata_.key ? dispatcher_.chooseOwner(*this, now)
                                                              : dispatcher_.chooseAny(*this, now);
+  if (choice.awaitsPermit) {
+    const bool isFirst = permitWaitEndsAt_ == base::TimePoint{};
+    permitWaitEndsAt_ = isFirst ? now + kPermitTimeout : permitWaitEndsAt_;
+    if (now < std::min(permitWaitEndsAt_, answerDeadline_)) {
+      sendAfter(kPermitPollDelay);
+      return;
+    }
+  }
   if (!choice.pool) {
     decidingServer_ = choice.decidingServer;
     if (mayHaveRun_) {
@@ -206,6 +218,9 @@
     if (answerMetadata.isLeaving) {
       dispatcher_.onServerLeaving(*pool_);
     }
+    if (answerMetadata.limit || !answerMetadata.notRun) {
+      dispatcher_.onLimitAnswer(*pool_, answerMetadata.limit, sentAt_);
+    }
     if (answerMetadata.pause) {
       dispatcher_.onServerPaused(*pool_, *answerMetadata.pause);
     }
--- a/libs/entry/src/ServerPool.cpp
+++ b/libs/entry/src/ServerPool.cpp
@@ -27,6 +27,7 @@
   , load_(server.slots, kInitialProcessingTime)
   , coldStart_(phase)
   , trialSchedule_(phase, clockNow())
+  , permits_(phase)
 {
 }
 
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -24,6 +24,7 @@
   heartbeat.connectionBreaks = { { 99, "s@1" } };
   heartbeat.lastChangeRevisions = { 1, 2, 3 };
   heartbeat.leavingServers = { { base::ServerId("x"), 4 } };
+  heartbeat.limitedServers = { { { base::ServerId("y"), 4 }, { 2.5 } } };
   ReportMessage report;
   report.vm = base::VmId("vm");
   report.domain = base::DomainId("a");
@@ -45,7 +46,10 @@
     change,
     ForwardMessage{ { "10.0.0.1", "10.0.0.2" }, encodePeerMessage(change) },
     ServerUseMessage{ { { base::ServerId("x"), { 2, { 1, std::chrono::milliseconds(9) } } } } },
-    LoadSummaryMessage{ { { { base::ServerId("x"), { 4, std::chrono::milliseconds(7) } } }, 3 } }
+    LoadSummaryMessage{ { { { base::ServerId("x"), { 4, std::chrono::milliseconds(7) } } }, 3 } },
+    ServerLimitMessage{ { base::ServerId("x"), 4 }, dispatch::RequestLimit{ 2.5 } },
+    PermitRequestMessage{ { { base::ServerId("x"), 4 }, { 2.5 } }, 2 },
+    PermitGrantMessage{ { base::ServerId("x"), 4 }, { 1, std::chrono::milliseconds(80) } }
   };
 }
 
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -60,6 +60,9 @@
       [this](dispatch::LoadSummary summary) {
         asio::post(traffic_,
                    [this, summary = std::move(summary)] { dispatcher_.onSharedLoad(summary); });
+      },
+      [this](const dispatch::ServerIncarnation& server, const dispatch::PermitGrant& grant) {
+        asio::post(traffic_, [this, server, grant] { dispatcher_.onPermitGrant(server, grant); });
       })
   , signals_(traffic_, SIGTERM, SIGINT, SIGHUP)
   , reportTimer_(traffic_)
@@ -82,6 +85,14 @@
   dispatcher_.setLeavingListener([this](const dispatch::ServerIncarnation& server) {
     asio::post(control_, [this, server] { entryControl_.onServersLeaving({ server }); });
   });
+  dispatcher_.setLimitListeners(
+    [this](const dispatch::ServerIncarnation& server, std::optional<dispatch::RequestLimit> limit) {
+      asio::post(control_, [this, server, limit] { entryControl_.onServerLimit(server, limit); });
+    },
+    [this](const dispatch::LimitedServer& limited, unsigned wanted) {
+      asio::post(control_,
+                 [this, limited, wanted] { entryControl_.requestPermits(limited, wanted); });
+    });
 }
 
 int EntryProcess::run()
@@ -287,6 +298,8 @@
   appendMetric("servers_leaving_total", counts.serversLeaving);
   appendMetric("server_pauses_total", counts.serverPauses);
   appendMetric("refused_paused_total", counts.refusedPaused);
+  appendMetric("refused_at_limit_total", counts.refusedAtLimit);
+  appendMetric("permits_used_total", counts.permitsUsed);
   appendMetric("log_lines_dropped_total", log_.dropped());
   appendMetric("configuration_version",
                view_ && view_->configuration ? view_->configuration->version : 0);
