--- a/libs/entry/tests/ShutdownTest.cpp
+++ b/libs/entry/tests/ShutdownTest.cpp
@@ -106,6 +106,22 @@
   CHECK(fixture.dispatcher().counts().received == 0);
 }
 
+// Guards against work that is passed on after the last answers and cut off without one.
+TEST_CASE("a request that arrives after the last answers reaches no server")
+{
+  Fixture fixture;
+  Caller caller(fixture.context(), fixture.port);
+  caller.send(get("l0"));
+  REQUIRE(fixture.runUntil([&] { return caller.received.find("ok-l0") != std::string::npos; }));
+  fixture.callers.beginDrain();
+  fixture.dispatcher().beginShutdown(lateShutdown(milliseconds(300)));
+  fixture.callers.endRequests();
+  caller.send(get("l1"));
+  CHECK(fixture.runUntil([&] { return caller.ended; }));
+  CHECK(caller.received.find("ok-l1") == std::string::npos);
+  CHECK(fixture.dispatcher().counts().passedOn == 1);
+}
+
 // Guards against requests that were sent behind another one and end without an answer.
 TEST_CASE("a VM that stops answers all requests that were sent behind one another")
 {
