Keep the platform's names out of the test with real entry processes

The test wrote headers and an entry of the platform itself; it takes them from platform/tests/support now.

--- a/tests/entry/ServerLimitTest.cpp
+++ b/tests/entry/ServerLimitTest.cpp
@@ -1,8 +1,11 @@
 #include <Deployment.h>
+#include <ServerTexts.h>
+#include <StoreTexts.h>
 
 #include <doctest/doctest.h>
 
 using namespace review;
+namespace wire_testing = sycamore::wire::testing;
 
 namespace {
 
@@ -24,11 +27,9 @@
     store.put(
       "servers",
       id,
-      { { "address", "127.0.0.1:" + std::to_string(listening_.port()) },
-        { "born", unixMilliseconds() },
-        { "info",
-          { { "service", "order" }, { "version", "v1" }, { "zone", zone }, { "slots", 8 } } } },
-      { { "state", "ready" }, { "seq", 1 }, { "warmup_left_s", 0 } });
+      Json::parse(wire_testing::serverContent(
+        "127.0.0.1:" + std::to_string(listening_.port()), unixMilliseconds(), "order", zone)),
+      Json::parse(wire_testing::readyServerStatus()));
   }
   ~LimitedServer() { listening_.stop(); }
 
@@ -51,9 +52,10 @@
       }
       sleepFor(0.02);
       std::string headers =
-        "Request-Id: " + request.header("Request-Id") + "\r\n" + "Response-Signature: s\r\n";
+        wire_testing::requestIdLine(request.header(wire_testing::kRequestIdName)) +
+        wire_testing::signatureLine();
       if (isLimited_) {
-        headers += "Server-Limit: " + std::to_string(kLimit) + "\r\n";
+        headers += wire_testing::limitLine(std::to_string(kLimit));
       }
       if (!channel.write(answerText(200, "ok", headers, "OK"))) {
         return;
