Log why each range of keys gets another owner

The logs told that a release was answered, but not why the next server got the keys: an answered release, expired grants and a process that has ended looked the same, and grants didn't say which life of a server they meant. One line for each previous owner and reason now names the ranges, the fencing tokens, the next owners and for how long the keys had been free; releases and failed grants name the server's life, and whether an answer carried the token.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -66,12 +66,41 @@
   BackendServer server;
 };
 
+// Why keys could be given to another owner.
+enum class KeysFreedBy
+{
+  // They had no owner before.
+  NoOwner,
+  // The owner has answered a release, and no unanswered grant could take effect any more.
+  Release,
+  // All grants to the owner had expired.
+  Expiry,
+  // Another server answers at the owner's address.
+  ProcessEnd
+};
+
+// A range that gets another owner, for the log.
+struct OwnerChange
+{
+  base::ServiceId service;
+  // The range with its previous owner and that one's fencing token; without an owner if it had
+  // none.
+  KeyRange previous;
+  // The same keys with the next owner.
+  KeyRange next;
+  KeysFreedBy freedBy = KeysFreedBy::NoOwner;
+  // Time from which on the previous owner was taken to hold nothing.
+  base::TimePoint freedAt{};
+};
+
 // Calls to servers and writes to the store that are due and that the user of KeyCoordinator
 // executes.
 struct CoordinatorActions
 {
   std::vector<GrantOrder> grants;
   std::vector<ReleaseOrder> releases;
+  // Changes that take effect with the next written record.
+  std::vector<OwnerChange> ownerChanges;
   // Whether the record has changed. It must be written before the changes take effect.
   bool mustWriteRecord = false;
 };
@@ -200,9 +229,12 @@
     Phase phase = Phase::Owned;
     base::TimePoint nextCallAt{};
     // Token from the previous owner's answer to the release, for the next grant.
-    std::string handover;
+    std::string handover = "";
     // Target of a planned move between live servers.
-    std::optional<base::ServerId> target;
+    std::optional<base::ServerId> target = std::nullopt;
+    // Why and since when the range has no owner. Valid in the phases Released and Unowned.
+    KeysFreedBy freedBy = KeysFreedBy::NoOwner;
+    base::TimePoint freedAt{};
   };
 
   struct Incarnation
@@ -246,6 +278,8 @@
   void partitionService(const base::ServiceId& service, base::TimePoint now);
   void regrant(ManagedRange& managed);
   void reviewOwner(ManagedRange& managed, base::TimePoint now);
+  // Lets the range have a new owner.
+  static void free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now);
   void renew(const base::ServiceId& service,
              ManagedRange& managed,
              CoordinatorActions& actions,
@@ -254,7 +288,10 @@
                ManagedRange& managed,
                CoordinatorActions& actions,
                base::TimePoint now);
-  void assignUnowned(const base::ServiceId& service, Ranges& ranges, base::TimePoint now);
+  void assignUnowned(const base::ServiceId& service,
+                     Ranges& ranges,
+                     CoordinatorActions& actions,
+                     base::TimePoint now);
   void planMoves(const base::ServiceId& service, Ranges& ranges, base::TimePoint now);
   void startMove(Ranges& ranges, const PlannedMove& move);
   void mergeOwnedRanges(Ranges& ranges, std::size_t servers);
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -46,7 +46,7 @@
   }
   for (const auto& [service, ranges] : record_.services) {
     for (const KeyRange& range : ranges) {
-      ranges_[service].push_back({ range, Phase::Owned, now, {}, {} });
+      ranges_[service].push_back({ range, Phase::Owned, now });
     }
   }
 }
@@ -142,7 +142,7 @@
       if (planDue) {
         planMoves(service, ranges, now);
       }
-      assignUnowned(service, ranges, now);
+      assignUnowned(service, ranges, actions, now);
     }
     for (ManagedRange& managed : ranges) {
       renew(service, managed, actions, now);
@@ -248,9 +248,12 @@
     if (answer.kind == ReleaseAnswer::Kind::NotSent) {
       managed->nextCallAt = std::min(managed->nextCallAt, now + kUnsentReleaseRetryInterval);
     } else if (answer.kind == ReleaseAnswer::Kind::Released) {
-      managed->phase =
-        now < unansweredGrantsExpireAt(managed->range) ? Phase::Released : Phase::Unowned;
       managed->handover = answer.handover;
+      if (now < unansweredGrantsExpireAt(managed->range)) {
+        managed->phase = Phase::Released;
+      } else {
+        free(*managed, KeysFreedBy::Release, now);
+      }
     }
   }
 }
@@ -417,7 +420,7 @@
   }
   for (const KeyRange& range :
        partitionKeys(servers, initialRangesPerServer(servers.size(), settings_.placement))) {
-    ranges_[service].push_back({ range, Phase::AwaitingWrite, now, {}, {} });
+    ranges_[service].push_back({ range, Phase::AwaitingWrite, now });
   }
   hasUnwrittenChanges_ = true;
 }
@@ -428,15 +431,19 @@
     return;
   }
   const std::string incarnation = incarnationOf(managed.range.owner, managed.range.born);
-  const bool holdsNothing = hasOwnerEnded(managed.range) || now >= allGrantsExpireAt(incarnation);
+  const bool hasEnded = hasOwnerEnded(managed.range);
+  const bool holdsNothing = hasEnded || now >= allGrantsExpireAt(incarnation);
+  const KeysFreedBy freedBy = hasEnded ? KeysFreedBy::ProcessEnd : KeysFreedBy::Expiry;
   if (managed.phase == Phase::Releasing) {
-    managed.phase = holdsNothing ? Phase::Unowned : Phase::Releasing;
+    if (holdsNothing) {
+      free(managed, freedBy, now);
+    }
     return;
   }
   if (managed.phase == Phase::Released) {
-    managed.phase = holdsNothing || now >= unansweredGrantsExpireAt(managed.range)
-                      ? Phase::Unowned
-                      : Phase::Released;
+    if (holdsNothing || now >= unansweredGrantsExpireAt(managed.range)) {
+      free(managed, KeysFreedBy::Release, now);
+    }
     return;
   }
   const BackendServer* server = registered(managed.range);
@@ -444,20 +451,23 @@
   if (owns) {
     return;
   }
-  if (hasOwnerEnded(managed.range)) {
-    managed.phase = Phase::Unowned;
-  } else if (nextIncarnation(managed.range) == nullptr && isLost(incarnation, now)) {
-    // A lost server won't answer a release, so its range is unowned only once its grants have
-    // expired.
-    managed.phase = holdsNothing ? Phase::Unowned : Phase::Owned;
-  } else if (holdsNothing) {
-    managed.phase = Phase::Unowned;
-  } else if (now >= previousCoordinatorsStopAt_) {
+  // A lost server won't answer a release, so its range is free only once its grants have expired.
+  const bool mayAnswer = nextIncarnation(managed.range) != nullptr || !isLost(incarnation, now);
+  if (holdsNothing) {
+    free(managed, freedBy, now);
+  } else if (mayAnswer && now >= previousCoordinatorsStopAt_) {
     managed.phase = Phase::Releasing;
     managed.nextCallAt = now;
   }
 }
 
+void KeyCoordinator::free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now)
+{
+  managed.phase = Phase::Unowned;
+  managed.freedBy = by;
+  managed.freedAt = now;
+}
+
 void KeyCoordinator::renew(const base::ServiceId& service,
                            ManagedRange& managed,
                            CoordinatorActions& actions,
@@ -508,6 +518,7 @@
 
 void KeyCoordinator::assignUnowned(const base::ServiceId& service,
                                    Ranges& ranges,
+                                   CoordinatorActions& actions,
                                    base::TimePoint now)
 {
   std::vector<PlacementServer> servers;
@@ -536,10 +547,13 @@
       chosen->rate += rate;
       chosen->keys += keys;
     }
+    const KeyRange previous = managed.range;
     managed.range.owner = chosen->id;
     managed.range.born = chosen->born;
     managed.range.fence += kOwnerStep;
     managed.target.reset();
+    actions.ownerChanges.push_back(
+      { service, previous, managed.range, managed.freedBy, managed.freedAt });
     managed.phase = Phase::AwaitingWrite;
     hasUnwrittenChanges_ = true;
   }
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -61,6 +61,7 @@
   void beginTerm(dispatch::OwnershipRecord record,
                  std::uint64_t revision,
                  base::TimePoint previousCoordinatorsStopAt);
+  void logOwnerChanges(const std::vector<dispatch::OwnerChange>& changes, base::TimePoint now);
   void writeRecord();
   void onWritten(const StoreAnswer& answer, base::TimePoint sentAt, const std::string& content);
   void requestConfirmation();
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -16,6 +16,28 @@
 // Timeout of a release. It is longer than the timeout of other calls to servers because a release
 // is answered only after the requests in progress on its keys have ended.
 constexpr base::Duration kReleaseTimeout = base::milliseconds(1000);
+// Maximum number of ranges in one line of the log.
+constexpr std::size_t kRangesPerLine = 32;
+
+std::int64_t millisecondsFrom(base::TimePoint from, base::TimePoint to)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+const char* nameOf(dispatch::KeysFreedBy freedBy)
+{
+  switch (freedBy) {
+    case dispatch::KeysFreedBy::NoOwner:
+      return "no owner before";
+    case dispatch::KeysFreedBy::Release:
+      return "release";
+    case dispatch::KeysFreedBy::Expiry:
+      return "grants expired";
+    case dispatch::KeysFreedBy::ProcessEnd:
+      return "process ended";
+  }
+  return "";
+}
 
 } // namespace
 
@@ -128,13 +150,10 @@
   confirmationPending_ = false;
   storeReachable_ = true;
   storeContact_ = dispatch::StoreContact({}, now);
-  log_.write(
-    "coordinator_began",
-    { { "epoch", record.epoch },
-      { "revision", revision },
-      { "others_grant_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(previousCoordinatorsStopAt - now)
-          .count() } });
+  log_.write("coordinator_began",
+             { { "epoch", record.epoch },
+               { "revision", revision },
+               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) } });
   coordinator_ = std::make_unique<dispatch::KeyCoordinator>(
     settings_, std::move(record), previousCoordinatorsStopAt, now);
 }
@@ -165,12 +184,45 @@
   for (const dispatch::ReleaseOrder& order : actions.releases) {
     sendRelease(order);
   }
+  logOwnerChanges(actions.ownerChanges, now);
   recordChanged_ = recordChanged_ || actions.mustWriteRecord;
   if (recordChanged_ && !writePending_ && now >= nextWriteAt_) {
     writeRecord();
   }
 }
 
+// Writes one line for each previous owner and reason, with the ranges as lists of first key, last
+// key, previous fencing token, next one, and next owner.
+void CoordinatorRole::logOwnerChanges(const std::vector<dispatch::OwnerChange>& changes,
+                                      base::TimePoint now)
+{
+  using dispatch::incarnationOf;
+  std::map<std::pair<std::string, dispatch::KeysFreedBy>, nlohmann::json> lines;
+  for (const dispatch::OwnerChange& change : changes) {
+    const std::string previous = incarnationOf(change.previous.owner, change.previous.born);
+    nlohmann::json& line = lines[{ previous, change.freedBy }];
+    if (line.is_null()) {
+      line = { { "previous", previous },
+               { "freed_by", nameOf(change.freedBy) },
+               { "free_ms", millisecondsFrom(change.freedAt, now) },
+               { "epoch", coordinator_->record().epoch },
+               { "more_ranges", 0 } };
+    }
+    if (line["ranges"].size() < kRangesPerLine) {
+      line["ranges"].push_back({ change.next.from,
+                                 change.next.to,
+                                 change.previous.fence,
+                                 change.next.fence,
+                                 incarnationOf(change.next.owner, change.next.born) });
+    } else {
+      line["more_ranges"] = line["more_ranges"].get<int>() + 1;
+    }
+  }
+  for (auto& [key, line] : lines) {
+    log_.write("owner_changed", std::move(line));
+  }
+}
+
 void CoordinatorRole::writeRecord()
 {
   writePending_ = true;
@@ -293,8 +345,9 @@
     }
     if (answer != dispatch::GrantAnswer::Accepted) {
       log_.write("grant_failed",
-                 { { "server", order.server.id.value() },
+                 { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
                    { "from", order.from },
+                   { "to", order.to },
                    { "fence", order.fence },
                    { "status", result.answer.result_int() },
                    { "end", static_cast<int>(result.end) },
@@ -324,11 +377,14 @@
       coordinator_->onServerProcessEnded(order.server);
     }
     log_.write("release",
-               { { "server", order.server.id.value() },
+               { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
+                 { "address", order.server.address },
                  { "from", order.from },
                  { "to", order.to },
                  { "fence", order.fence },
                  { "answered", answer.kind == dispatch::ReleaseAnswer::Kind::Released },
+                 { "has_token", !answer.handover.empty() },
+                 { "status", result.answer.result_int() },
                  { "end", static_cast<int>(result.end) } });
     coordinator_->onReleaseAnswered(order, answer, clockNow());
   });
