Ask the process that got the grants to release them, not a later life elsewhere

Callers' view: two servers held the same keys for up to a lifetime of a grant (OWNER), the first without requests.

Cause: a server may start again under its id. KeyCoordinator sent the release of the earlier life's keys to the later one, because at the same address that one may have taken renewals meant for the earlier. At another address the later life answers at once that it has nothing left to do, which proves nothing about the earlier process: if that still runs (a replacement that starts before the old one has drained), it holds the keys until its last grant expires.

Whether a deployment starts a server in this manner isn't shown yet.

Change: the release goes to the address to which the grants went. At the same address the later life answers it as before; a process that has ended is waited for until its grants have expired, or until another server answers there.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -255,8 +255,9 @@
   // Returns whether another server is known to have the owner's address, so that no process holds
   // keys by grants that were sent there.
   bool hasOwnerEnded(const KeyRange& range) const;
-  // Returns the next incarnation of the owner, if one is registered; null otherwise. It may have
-  // taken grants that were meant for the owner, since a call names only the server's id.
+  // Returns the next incarnation of the owner, if one is registered; null otherwise. At the same
+  // address it may have taken grants that were meant for the owner, since a call names only the
+  // server's id; at another one the owner may still run.
   const BackendServer* nextIncarnation(const KeyRange& range) const;
   bool isLost(const std::string& incarnation, base::TimePoint now) const;
   bool isUsable(const BackendServer& server, base::TimePoint now) const;
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -503,17 +503,18 @@
   if (grants != nullptr && grants->hasOpenCall(managed.range.from, managed.range.to)) {
     return;
   }
+  // The release goes where the grants went: a later life at another address may answer while the
+  // owner still runs.
+  const auto known = incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
   managed.nextCallAt = now + kReleaseRetryInterval;
-  const BackendServer* server = nextIncarnation(managed.range);
-  if (server == nullptr) {
-    const auto known = incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
-    if (known == incarnations_.end() || known->second.server.id != managed.range.owner) {
-      return;
-    }
-    server = &known->second.server;
+  if (known == incarnations_.end() || known->second.server.id != managed.range.owner) {
+    return;
   }
-  actions.releases.push_back(
-    { service, managed.range.from, managed.range.to, managed.range.fence + kReleaseStep, *server });
+  actions.releases.push_back({ service,
+                               managed.range.from,
+                               managed.range.to,
+                               managed.range.fence + kReleaseStep,
+                               known->second.server });
 }
 
 void KeyCoordinator::assignUnowned(const base::ServiceId& service,
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -66,13 +66,11 @@
 
 void CoordinatorFixture::checkSingleHolder() const
 {
-  for (const auto& [idA, a] : servers_) {
-    for (const auto& [idB, b] : servers_) {
-      if (!(idA < idB)) {
-        continue;
-      }
-      for (const Held& heldA : a.held) {
-        for (const Held& heldB : b.held) {
+  const std::vector<const Server*> servers = allServers();
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      for (const Held& heldA : servers[i]->held) {
+        for (const Held& heldB : servers[j]->held) {
           const bool both = clock_.now() < heldA.until && clock_.now() < heldB.until &&
                             overlap(heldA.from, heldA.to, heldB.from, heldB.to);
           REQUIRE_FALSE(both);
@@ -105,6 +103,13 @@
   servers_.at(server).registration.born = nextBorn_++;
 }
 
+void CoordinatorFixture::restartElsewhere(const base::ServerId& server)
+{
+  earlierLives_.push_back(servers_.at(server));
+  servers_.at(server).registration.address = newAddress();
+  restart(server);
+}
+
 void CoordinatorFixture::replaceAtAddress(const base::ServerId& server)
 {
   servers_.at(server).held.clear();
@@ -115,8 +120,9 @@
 {
   const base::ServerId id("s" + std::to_string(nextServer_++));
   Server server;
-  server.registration = { id, nextBorn_++, service_, "10.0.0.1:80", base::DomainId("a"),
-                          2,  false,       {} };
+  server.registration = {
+    id, nextBorn_++, service_, newAddress(), base::DomainId("a"), 2, false, {}
+  };
   servers_[id] = server;
   if (coordinator_) {
     publishServers();
@@ -124,6 +130,11 @@
   return id;
 }
 
+std::string CoordinatorFixture::newAddress()
+{
+  return "10.0.0.1:" + std::to_string(nextAddress_++);
+}
+
 void CoordinatorFixture::loseAnswers(const base::ServerId& server, bool lose)
 {
   servers_.at(server).losesAnswers = lose;
@@ -237,10 +248,27 @@
 
 CoordinatorFixture::Server* CoordinatorFixture::serverOf(const BackendServer& registration)
 {
+  for (Server& earlier : earlierLives_) {
+    if (earlier.registration.address == registration.address) {
+      return &earlier;
+    }
+  }
   const auto found = servers_.find(registration.id);
   return found == servers_.end() ? nullptr : &found->second;
 }
 
+std::vector<const CoordinatorFixture::Server*> CoordinatorFixture::allServers() const
+{
+  std::vector<const Server*> result;
+  for (const auto& [id, server] : servers_) {
+    result.push_back(&server);
+  }
+  for (const Server& earlier : earlierLives_) {
+    result.push_back(&earlier);
+  }
+  return result;
+}
+
 void CoordinatorFixture::publishServers()
 {
   std::map<base::ServerId, BackendServer> registrations;
--- a/libs/dispatch/tests/CoordinatorFixture.h
+++ b/libs/dispatch/tests/CoordinatorFixture.h
@@ -38,6 +38,9 @@
   // publishServers().
   void restart(const base::ServerId& server);
   void restartUnnoticed(const base::ServerId& server);
+  // Starts and registers a later life of the server at another address, while the present one goes
+  // on.
+  void restartElsewhere(const base::ServerId& server);
   void publishServers();
   void replaceAtAddress(const base::ServerId& server);
   base::ServerId addServer();
@@ -80,17 +83,22 @@
     bool holdsCallsOpen = false;
   };
 
+  std::string newAddress();
   void grant(const GrantOrder& order);
   void hold(Server& server, const GrantOrder& order) const;
   void release(const ReleaseOrder& order);
-  // Returns the server that a call reaches: calls name the server's id, not its incarnation.
+  // Returns the server that a call reaches: the one at the address, since calls name the server's
+  // id, not its incarnation.
   Server* serverOf(const BackendServer& registration);
+  std::vector<const Server*> allServers() const;
 
   base::ManualClock clock_;
   base::ServiceId service_{ "layout" };
   CoordinatorSettings settings_;
   OwnershipRecord stored_;
   std::map<base::ServerId, Server> servers_;
+  // Earlier lives that go on at their own addresses.
+  std::vector<Server> earlierLives_;
   std::set<base::ServerId> replaced_;
   std::vector<GrantOrder> openCalls_;
   std::unique_ptr<KeyCoordinator> coordinator_;
@@ -99,6 +107,7 @@
   std::size_t grantsSent_ = 0;
   std::size_t handoverTokensPassed_ = 0;
   unsigned nextServer_ = 0;
+  unsigned nextAddress_ = 1;
   unsigned nextBucket_ = 0;
   std::int64_t nextBorn_ = 1000;
 };
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -104,6 +104,22 @@
   CHECK(fixture.now() < published + milliseconds(3500));
 }
 
+// Guards against two owners of a key: a later life answered the release for an earlier one that
+// still ran.
+TEST_CASE("the later life of a server at another address doesn't release the earlier one's keys")
+{
+  CoordinatorFixture fixture(3);
+  fixture.run(seconds(5));
+  const KeyRange before = fixture.ranges().front();
+  fixture.restartElsewhere(before.owner);
+  for (int i = 0; i < 100; ++i) {
+    fixture.step();
+    fixture.checkSingleHolder();
+  }
+  CHECK(fixture.ranges().front().fence > before.fence);
+  CHECK(!fixture.holder(0).value().empty());
+}
+
 // Guards against two owners of a key: a previous coordinator that was cut off renewed grants for
 // seconds after a later one had reported that it had itself stopped (seen in magnolia-verse
 // trouble-1).
