Give each term of a coordinator an epoch of its own

Cause: a process that found itself named in the record, after a takeover whose answer was lost, began a term in the epoch of that record, a second time too if it had resigned meanwhile. A stop report is matched by epoch, so that the predecessor's report shortened the wait for grants that the process had sent in its own first term.

Change: such a process takes over by a write as from any other coordinator, one call more after a lost answer.

--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -95,12 +95,6 @@
     return;
   }
   const dispatch::Coordinator previous = record.coordinator;
-  if (previous == self_) {
-    // The record was written by an earlier attempt of this process whose answer was lost.
-    takeoverPending_ = false;
-    beginTerm(std::move(record), revision, clockNow() + settings_.confirmationTimeout);
-    return;
-  }
   if (record.epoch > knownEpoch && !previous.vm.value().empty() && previous.vm != self_.vm) {
     // Another VM has just become the coordinator; leave it time for its first heartbeat.
     takeoverPending_ = false;
--- /dev/null
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -0,0 +1,132 @@
+#include "FakeServer.h"
+
+#include <entry/CoordinatorRole.h>
+#include <entry/SteadyTime.h>
+
+#include <StoreTexts.h>
+
+#include <doctest/doctest.h>
+
+using namespace sycamore;
+using namespace sycamore::entry;
+using namespace sycamore::wire::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string answer(const std::string& status, const std::string& body)
+{
+  return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// A store with one object, which carries out every write.
+class Store
+{
+public:
+  explicit Store(asio::io_context& context)
+    : server_(context, [this](const std::string& request) { return react(request); })
+  {
+  }
+
+  std::uint16_t port() const { return server_.port(); }
+  void setRecord(const dispatch::OwnershipRecord& record)
+  {
+    const std::string body =
+      wire::writeBody("ownership", 0, dispatch::writeOwnershipRecord(record));
+    object_ = writtenObject("\r\n\r\n" + body, ++revision_);
+  }
+  void delayWrites(milliseconds delay) { writeDelay_ = delay; }
+  void loseWriteAnswers(bool lose) { losesWriteAnswers_ = lose; }
+  base::TimePoint writtenAt() const { return writtenAt_; }
+
+private:
+  FakeServer::Reaction react(const std::string& request)
+  {
+    FakeServer::Reaction reaction;
+    if (request.starts_with("GET")) {
+      reaction.bytes = object_.empty() ? answer("404 Not Found", "{}") : answer("200 OK", object_);
+      return reaction;
+    }
+    object_ = writtenObject(request, ++revision_);
+    writtenAt_ = clockNow();
+    if (losesWriteAnswers_) {
+      reaction.end = FakeServer::Reaction::End::Reset;
+      return reaction;
+    }
+    reaction.bytes = answer("200 OK", object_);
+    reaction.delay = writeDelay_;
+    return reaction;
+  }
+
+  std::string object_;
+  std::uint64_t revision_ = 0;
+  milliseconds writeDelay_{ 0 };
+  bool losesWriteAnswers_ = false;
+  base::TimePoint writtenAt_{};
+  FakeServer server_;
+};
+
+// The role of one entry VM, "front-1" at 10.0.0.1.
+class Role
+{
+public:
+  Role()
+    : storeClient_(calls_, { "127.0.0.1", store_.port() }, bytes_)
+    , role_(
+        calls_,
+        storeClient_,
+        log_,
+        bytes_,
+        base::DomainId("a"),
+        settings_,
+        self_,
+        [](const dispatch::OwnershipRecord&, const dispatch::OwnershipDelta&) {},
+        [](const dispatch::OwnershipRecord&, std::uint64_t) {})
+  {
+  }
+
+  Store& store() { return store_; }
+  const dispatch::CoordinatorSettings& settings() const { return settings_; }
+  const dispatch::Coordinator& self() const { return self_; }
+  const dispatch::KeyCoordinator& coordinator() const { return *role_.coordinator(); }
+
+  // Returns whether this VM has become the coordinator.
+  bool tryTakeover()
+  {
+    const std::uint64_t failures = storeClient_.calls().failed;
+    role_.tryTakeover(0);
+    const base::TimePoint deadline = clockNow() + seconds(3);
+    while (!role_.active() && storeClient_.calls().failed == failures && clockNow() < deadline) {
+      context_.restart();
+      context_.run_one_for(milliseconds(20));
+    }
+    return role_.active();
+  }
+
+private:
+  asio::io_context context_;
+  Store store_{ context_ };
+  EventLog log_{ "front-1" };
+  ByteCounts bytes_;
+  CallClient calls_{ context_, BufferQuota(1024 * 1024) };
+  StoreClient storeClient_;
+  dispatch::CoordinatorSettings settings_;
+  dispatch::Coordinator self_{ base::VmId("front-1"), 7, "10.0.0.1" };
+  CoordinatorRole role_;
+};
+
+} // namespace
+
+// Guards against a stop report of the preceding coordinator that is taken to cover the grants of an
+// earlier term in the same epoch.
+TEST_CASE("each term of a coordinator has an epoch of its own")
+{
+  Role role;
+  role.store().loseWriteAnswers(true);
+  REQUIRE_FALSE(role.tryTakeover());
+  role.store().loseWriteAnswers(false);
+  REQUIRE(role.tryTakeover());
+  CHECK(role.coordinator().record().epoch == 2);
+}
--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 
 namespace sycamore::entry {
 
@@ -55,8 +56,17 @@
       });
   }
 
-  void perform(const FakeServer::Reaction& reaction)
+  void perform(FakeServer::Reaction reaction)
   {
+    if (reaction.delay > std::chrono::milliseconds::zero()) {
+      timer.expires_after(std::exchange(reaction.delay, std::chrono::milliseconds::zero()));
+      timer.async_wait([self = shared_from_this(), reaction](const error_code& error) {
+        if (!error) {
+          self->perform(reaction);
+        }
+      });
+      return;
+    }
     error_code ignored;
     asio::write(socket, asio::buffer(reaction.bytes), ignored);
     if (reaction.end == FakeServer::Reaction::End::Reset) {
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -29,6 +29,8 @@
     // Bytes that are written again and again after the others, until the connection ends.
     std::string endless = "";
     std::chrono::milliseconds endlessInterval{ 0 };
+    // Time that passes before the bytes are written.
+    std::chrono::milliseconds delay{ 0 };
   };
   using React = std::function<Reaction(const std::string& request)>;
 
