Wait for another process of the same VM name

Cause: a takeover skipped the wait for the previous coordinator if that one had this VM's name, taking it for an earlier process that has ended. A name can be given to a new process while the earlier one still runs and grants.

The new test failed before.

Change: only a process at this one's own address is known to have ended, since this one could bind the port that a running one keeps for itself.

--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -101,10 +101,12 @@
     otherCoordinatorListener_(record, revision);
     return;
   }
-  // No other VM can be granting if there was no previous coordinator. An earlier process of this VM
-  // has stopped granting as well, but the coordinators before that process may not have.
+  // No other VM can be granting if there was no previous coordinator. An earlier process at this
+  // address has ended as well, since this one could bind its port, but the coordinators before that
+  // process may still be granting.
+  const bool isEarlierProcess = previous.vm == self_.vm && previous.address == self_.address;
   const bool previousCoordinatorsStopped =
-    previous.vm.value().empty() || (previous.vm == self_.vm && record.previousCoordinatorsStopped);
+    previous.vm.value().empty() || (isEarlierProcess && record.previousCoordinatorsStopped);
   record.coordinator = self_;
   record.previousCoordinatorsStopped = previousCoordinatorsStopped;
   ++record.epoch;
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -117,8 +117,41 @@
   CoordinatorRole role_;
 };
 
+dispatch::OwnershipRecord recordOf(const dispatch::Coordinator& coordinator)
+{
+  dispatch::OwnershipRecord record;
+  record.epoch = 4;
+  record.coordinator = coordinator;
+  record.previousCoordinatorsStopped = true;
+  return record;
+}
+
+bool waitsForOthers(const Role& role)
+{
+  const base::TimePoint now = clockNow();
+  return role.coordinator().stopReport(now).previousCoordinatorsStopAt > now + seconds(4);
+}
+
 } // namespace
 
+// Guards against two coordinators: a VM's name can be given to a new process at another address
+// while the earlier one still runs.
+TEST_CASE("a coordinator waits for a process of the same VM name at another address")
+{
+  Role role;
+  role.store().setRecord(recordOf({ role.self().vm, 3, "10.0.0.9" }));
+  REQUIRE(role.tryTakeover());
+  CHECK(waitsForOthers(role));
+}
+
+TEST_CASE("a coordinator doesn't wait for an earlier process at its own address")
+{
+  Role role;
+  role.store().setRecord(recordOf({ role.self().vm, 3, role.self().address }));
+  REQUIRE(role.tryTakeover());
+  CHECK_FALSE(waitsForOthers(role));
+}
+
 // Guards against a stop report of the preceding coordinator that is taken to cover the grants of an
 // earlier term in the same epoch.
 TEST_CASE("each term of a coordinator has an epoch of its own")
