Count a coordinator's right to grant from the sending of its takeover

Cause: a coordinator may grant for 5 s after the store's last confirmation, and its successor waits for 5 s after its own takeover. The confirmation by the takeover itself was dated by the handling of its answer. On a VM that handles it late, after the successor's takeover, and hears nothing of the store afterwards, the two times overlap by the delay.

The new test, with an answer 300 ms late, failed before.

Change: the term's first confirmation is dated by the sending of the write, as all later ones are; coordinator_began logs how old it was.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -157,11 +157,12 @@
 {
 public:
   // `record` is the record in the store. `previousCoordinatorsGrantUntil` is the time until which
-  // any previous coordinator may still grant.
+  // any previous coordinator may still grant. `confirmedAt` is the time of the call by whose answer
+  // the store confirmed this VM as the coordinator.
   KeyCoordinator(CoordinatorSettings settings,
                  OwnershipRecord record,
                  base::TimePoint previousCoordinatorsGrantUntil,
-                 base::TimePoint now);
+                 base::TimePoint confirmedAt);
 
   const OwnershipRecord& record() const { return record_; }
 
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -35,18 +35,18 @@
 KeyCoordinator::KeyCoordinator(CoordinatorSettings settings,
                                OwnershipRecord record,
                                base::TimePoint previousCoordinatorsGrantUntil,
-                               base::TimePoint now)
+                               base::TimePoint confirmedAt)
   : settings_(settings)
   , record_(std::move(record))
-  , previousCoordinatorsStopAt_(std::max(previousCoordinatorsGrantUntil, now))
-  , confirmedAt_(now)
+  , previousCoordinatorsStopAt_(std::max(previousCoordinatorsGrantUntil, confirmedAt))
+  , confirmedAt_(confirmedAt)
 {
   if (!record_.services.empty()) {
     previousUnansweredGrantsExpireAt_ = unansweredCallExpiresAt(previousCoordinatorsStopAt_);
   }
   for (const auto& [service, ranges] : record_.services) {
     for (const KeyRange& range : ranges) {
-      ranges_[service].push_back({ range, Phase::Owned, now });
+      ranges_[service].push_back({ range, Phase::Owned, confirmedAt });
     }
   }
 }
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -60,7 +60,8 @@
   void onRecordReadForTakeover(const StoreAnswer& answer, std::uint64_t knownEpoch);
   void beginTerm(dispatch::OwnershipRecord record,
                  std::uint64_t revision,
-                 base::TimePoint previousCoordinatorsStopAt);
+                 base::TimePoint previousCoordinatorsStopAt,
+                 base::TimePoint confirmedAt);
   void logOwnerChanges(const std::vector<dispatch::OwnerChange>& changes, base::TimePoint now);
   void writeRecord();
   void onWritten(const StoreAnswer& answer, base::TimePoint sentAt, const std::string& content);
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -111,12 +111,13 @@
   record.previousCoordinatorsStopped = previousCoordinatorsStopped;
   ++record.epoch;
   const std::string content = dispatch::writeOwnershipRecord(record);
+  const base::TimePoint sentAt = clockNow();
   store_.write(
     wire::Kind::Ownership,
     wire::kOwnershipName,
     revision,
     content,
-    [this, record, revision, previousCoordinatorsStopped](const StoreAnswer& written) {
+    [this, record, revision, previousCoordinatorsStopped, sentAt](const StoreAnswer& written) {
       takeoverPending_ = false;
       if (written.outcome != StoreOutcome::Done) {
         return;
@@ -126,7 +127,8 @@
         const wire::StoreObject object = wire::readObject(written.body);
         beginTerm(record,
                   object.revision,
-                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout);
+                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout,
+                  sentAt);
         recordConfirmedListener_(record, { revision, object.revision, {}, self_, record.epoch });
       } catch (const wire::WireError& error) {
         log_.write("store_answer_unreadable", { { "error", error.what() } });
@@ -136,7 +138,8 @@
 
 void CoordinatorRole::beginTerm(dispatch::OwnershipRecord record,
                                 std::uint64_t revision,
-                                base::TimePoint previousCoordinatorsStopAt)
+                                base::TimePoint previousCoordinatorsStopAt,
+                                base::TimePoint confirmedAt)
 {
   const base::TimePoint now = clockNow();
   ++term_;
@@ -145,13 +148,14 @@
   recordChanged_ = false;
   confirmationPending_ = false;
   storeReachable_ = true;
-  storeContact_ = dispatch::StoreContact({}, now);
+  storeContact_ = dispatch::StoreContact({}, confirmedAt);
   log_.write("coordinator_began",
              { { "epoch", record.epoch },
                { "revision", revision },
-               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) } });
+               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) },
+               { "confirmed_ms", millisecondsFrom(confirmedAt, now) } });
   coordinator_ = std::make_unique<dispatch::KeyCoordinator>(
-    settings_, std::move(record), previousCoordinatorsStopAt, now);
+    settings_, std::move(record), previousCoordinatorsStopAt, confirmedAt);
 }
 
 void CoordinatorRole::resign(const char* reason)
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -134,6 +134,20 @@
 
 } // namespace
 
+// Guards against two coordinators: the successor waits from its own write on, which may come before
+// a late answer to this one's.
+TEST_CASE("a coordinator may grant for a time that counts from its takeover, not from the answer")
+{
+  Role role;
+  role.store().delayWrites(milliseconds(300));
+  REQUIRE(role.tryTakeover());
+  dispatch::GrantOrder order;
+  order.sendBy = base::TimePoint::max();
+  const base::TimePoint end = role.store().writtenAt() + role.settings().confirmationTimeout;
+  CHECK(role.coordinator().maySend(order, end - milliseconds(200)));
+  CHECK_FALSE(role.coordinator().maySend(order, end));
+}
+
 // Guards against two coordinators: a VM's name can be given to a new process at another address
 // while the earlier one still runs.
 TEST_CASE("a coordinator waits for a process of the same VM name at another address")
