Tell a grant's own answer by an id

Cause: grants share connections, and their answers carried no id. A late copy of an earlier answer counted for the next grant. If that grant itself got no answer, it could be carried out after its keys had been released, while the next owner already had them.

The new tests failed before.

Change: calls to servers carry an id. An answer with another id is skipped, and a connection whose answer didn't repeat the id carries no second call, so that nothing but the call's own answer can come first on it.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -18,6 +18,9 @@
   // Additional header lines, each with its line end.
   std::string headers;
   std::string body;
+  // Id that tells the call's own answer from late copies of others; empty if the receiver repeats
+  // no ids.
+  std::string requestId;
   // Time for which the call may go without an answer or, if `maxDuration` is longer, without a
   // further byte of it.
   base::Duration timeout{};
@@ -33,7 +36,8 @@
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
-// resets its connection, so that it can't arrive later. Control thread only.
+// resets its connection, so that it can't arrive later. The connection of a call with an id is kept
+// only if the answer has repeated the id. Control thread only.
 class CallClient
 {
 public:
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -68,6 +68,8 @@
   void requestConfirmation();
   void recordConfirmation(base::TimePoint sentAt);
   void onConfirmationRead(const StoreAnswer& answer, base::TimePoint sentAt);
+  // Returns an id that no other call to a server has.
+  std::string newCallId();
   void sendGrant(const dispatch::GrantOrder& order);
   void sendRelease(const dispatch::ReleaseOrder& order);
 
@@ -92,6 +94,7 @@
   // Incremented whenever this VM becomes the coordinator or stops being it, so that answers to
   // calls of an earlier term are ignored.
   std::uint64_t term_ = 0;
+  std::uint64_t callsToServers_ = 0;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -36,6 +36,8 @@
   // Whether the connection can carry another request, and whether it had carried one before.
   bool reusable = false;
   bool reused = false;
+  // Whether the answer carries the request's id.
+  bool isIdentified = false;
   // Bytes of the request and of all that was received.
   std::size_t bytes = 0;
   // Memory that the answer takes.
@@ -112,6 +114,8 @@
   unsigned skippedAnswers_ = 0;
   AnswerReader reader_;
   std::string requestId_;
+  // Whether the last answer carried the id of its request.
+  bool isIdentified_ = false;
   Finished finished_;
   std::function<bool()> sendCondition_;
   std::function<void()> idleEndListener_;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -2,6 +2,8 @@
 
 #include <entry/SteadyTime.h>
 
+#include <wire/ServerProtocol.h>
+
 #include <algorithm>
 
 namespace sycamore::entry {
@@ -45,6 +47,9 @@
   std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.endpoint.ip +
                       ":" + std::to_string(call.endpoint.port) + "\r\n";
   bytes += call.headers;
+  if (!call.requestId.empty()) {
+    wire::appendRequestId(bytes, call.requestId);
+  }
   if (!call.body.empty()) {
     bytes += "Content-Type: application/json\r\n";
     bytes += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
@@ -54,21 +59,26 @@
   pending->timeout = call.timeout;
   pending->endsAt = now + std::max(call.timeout, call.maxDuration);
   awaitTimeout(pending);
-  pending->connection->exchange(std::move(bytes),
-                                "",
-                                false,
-                                now + call.timeout,
-                                [this, pending, endpoint = call.endpoint](ExchangeResult result) {
-                                  pending->timer.cancel();
-                                  if (result.reusable) {
-                                    idleConnectionsOf(endpoint).put(pending->connection);
-                                  }
-                                  if (pending->finished) {
-                                    const Finished done = std::move(pending->finished);
-                                    pending->finished = nullptr;
-                                    done(std::move(result));
-                                  }
-                                });
+  const bool needsId = !call.requestId.empty();
+  pending->connection->exchange(
+    std::move(bytes),
+    std::move(call.requestId),
+    false,
+    now + call.timeout,
+    [this, pending, needsId, endpoint = call.endpoint](ExchangeResult result) {
+      pending->timer.cancel();
+      if (result.reusable && needsId && !result.isIdentified) {
+        // The answers on it can't be told apart.
+        pending->connection->abandon();
+      } else if (result.reusable) {
+        idleConnectionsOf(endpoint).put(pending->connection);
+      }
+      if (pending->finished) {
+        const Finished done = std::move(pending->finished);
+        pending->finished = nullptr;
+        done(std::move(result));
+      }
+    });
 }
 
 void CallClient::awaitTimeout(const std::shared_ptr<Pending>& pending)
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -319,6 +319,11 @@
   return storeReachable_ && storeContact_.isRecent(now);
 }
 
+std::string CoordinatorRole::newCallId()
+{
+  return std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
+}
+
 void CoordinatorRole::sendGrant(const dispatch::GrantOrder& order)
 {
   Call call{ endpointOf(order.server),
@@ -326,6 +331,7 @@
              wire::grantPath(),
              wire::serverHeader(order.server.id),
              wire::grantBody(order, settings_.grantDuration),
+             newCallId(),
              settings_.callTimeout,
              [this, order, term = term_] {
                return term == term_ && coordinator_->maySend(order, clockNow());
@@ -364,6 +370,7 @@
              wire::releasePath(),
              wire::serverHeader(order.server.id),
              wire::releaseBody(order),
+             newCallId(),
              kReleaseTimeout,
              nullptr,
              true };
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -78,6 +78,7 @@
   idleEndListener_ = nullptr;
   sendStarted_ = false;
   requestWritten_ = false;
+  isIdentified_ = false;
   reader_.start(kAnswerHeaderLimit, kAnswerBodyLimit, headOnly_);
   if (isOpen_) {
     send();
@@ -202,6 +203,7 @@
   const ServerAnswer& answer = reader_.message();
   const auto facts = wire::readAnswerMetadata(answer.result_int(), answer);
   const bool isInterim = answer.result_int() < 200;
+  isIdentified_ = !facts.requestId.empty() && facts.requestId == requestId_;
   const bool isForOtherRequest = !facts.requestId.empty() && facts.requestId != requestId_;
   // Without an id, the answer may be a late copy of the answer to an earlier request.
   const bool isAmbiguous = facts.requestId.empty() && !requestId_.empty() && exchanges_ > 1;
@@ -236,6 +238,7 @@
   result.end = end;
   result.bytes = exchangedBytes_;
   result.reused = exchanges_ > 1;
+  result.isIdentified = isIdentified_;
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.memory = std::move(memory_);
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -111,26 +111,23 @@
                        base::Duration timeout,
                        Finished finished)
 {
-  calls_.call({ store_,
-                method,
-                std::move(path),
-                "",
-                std::move(body),
-                timeout,
-                nullptr,
-                false,
-                std::max(timeout, kMaxCallDuration) },
-              [this, finished = std::move(finished)](ExchangeResult result) {
-                // The store belongs to no failure domain.
-                bytes_.add("store", false, result.bytes);
-                StoreAnswer answer;
-                answer.outcome = outcomeOf(result);
-                answer.body = std::move(result.answer.body());
-                reachable_ = answer.outcome != StoreOutcome::Refused &&
-                             answer.outcome != StoreOutcome::Unknown;
-                counts_.failed += reachable_ ? 0 : 1;
-                finished(std::move(answer));
-              });
+  Call call;
+  call.endpoint = store_;
+  call.method = method;
+  call.path = std::move(path);
+  call.body = std::move(body);
+  call.timeout = timeout;
+  call.maxDuration = std::max(timeout, kMaxCallDuration);
+  calls_.call(std::move(call), [this, finished = std::move(finished)](ExchangeResult result) {
+    // The store belongs to no failure domain.
+    bytes_.add("store", false, result.bytes);
+    StoreAnswer answer;
+    answer.outcome = outcomeOf(result);
+    answer.body = std::move(result.answer.body());
+    reachable_ = answer.outcome != StoreOutcome::Refused && answer.outcome != StoreOutcome::Unknown;
+    counts_.failed += reachable_ ? 0 : 1;
+    finished(std::move(answer));
+  });
 }
 
 } // namespace sycamore::entry
--- a/libs/entry/tests/OwnershipAnswersTest.cpp
+++ b/libs/entry/tests/OwnershipAnswersTest.cpp
@@ -3,10 +3,13 @@
 #include <entry/CallClient.h>
 #include <entry/OwnershipAnswers.h>
 
+#include <ServerTexts.h>
+
 #include <doctest/doctest.h>
 
 using namespace sycamore;
 using namespace sycamore::entry;
+using namespace sycamore::wire::testing;
 using dispatch::GrantAnswer;
 using std::chrono::milliseconds;
 
@@ -26,7 +29,7 @@
   {
   }
 
-  ExchangeResult call(bool needsNewConnection = false)
+  ExchangeResult call(bool needsNewConnection = false, const std::string& id = "")
   {
     std::optional<ExchangeResult> result;
     Call call;
@@ -35,6 +38,7 @@
     call.path = "/";
     call.body = "{}";
     call.timeout = milliseconds(500);
+    call.requestId = id;
     call.needsNewConnection = needsNewConnection;
     client_.call(std::move(call), [&](ExchangeResult ended) { result = std::move(ended); });
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(2);
@@ -86,3 +90,22 @@
   const dispatch::ReleaseAnswer copied = releaseAnswerOf(calls.call());
   CHECK(copied.kind == dispatch::ReleaseAnswer::Kind::OutcomeUnknown);
 }
+
+// Guards against two owners of a key: a grant whose answer was a late copy of an earlier one
+// counted as answered, and was carried out after its keys had been released.
+TEST_CASE("a late copy of an earlier grant's answer isn't taken for the answer to the next grant")
+{
+  const std::string earlier = validAnswer("1", "");
+  Calls calls({ earlier, earlier });
+  CHECK(grantAnswerOf(calls.call(false, "1")) == GrantAnswer::Accepted);
+  CHECK(grantAnswerOf(calls.call(false, "2")) == GrantAnswer::OutcomeUnknown);
+  CHECK(calls.server().accepted() == 1);
+}
+
+TEST_CASE("a server that doesn't repeat the ids of grants gets each on a new connection")
+{
+  Calls calls({ kAccepted, kAccepted });
+  CHECK(grantAnswerOf(calls.call(false, "1")) == GrantAnswer::Accepted);
+  CHECK(grantAnswerOf(calls.call(false, "2")) == GrantAnswer::Accepted);
+  CHECK(calls.server().accepted() == 2);
+}
