Remember the addresses of servers whose entries were replaced or removed

A new coordinator knew only registered servers. Since a later life of a server no longer answers for an earlier one, the keys of a server whose entry had gone before the takeover would wait for the end of all grants, up to 8 s, although the server may run and could release them.

--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -169,6 +169,9 @@
   // Set the registered servers, the policies of the services, and the failure domains that are out
   // of service. Only keyed services are managed.
   void setServers(const std::map<base::ServerId, BackendServer>& servers, base::TimePoint now);
+  // Adds servers that are no longer registered and may still hold keys by grants of a previous
+  // coordinator.
+  void addFormerServers(const std::vector<BackendServer>& servers);
   void setServices(const std::map<base::ServiceId, ServicePolicy>& services);
   void setDomainsOut(const std::set<base::DomainId>& domains);
   // Sets the servers that name a limit in their answers.
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -61,6 +61,16 @@
   }
 }
 
+void KeyCoordinator::addFormerServers(const std::vector<BackendServer>& servers)
+{
+  for (const BackendServer& server : servers) {
+    Incarnation& incarnation = incarnations_[incarnationOf(server.id, server.born)];
+    if (incarnation.server.id.value().empty()) {
+      incarnation.server = server;
+    }
+  }
+}
+
 void KeyCoordinator::setServices(const std::map<base::ServiceId, ServicePolicy>& services)
 {
   services_ = services;
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -110,6 +110,15 @@
   restart(server);
 }
 
+void CoordinatorFixture::publishFormerServers()
+{
+  std::vector<BackendServer> former;
+  for (const Server& earlier : earlierLives_) {
+    former.push_back(earlier.registration);
+  }
+  coordinator_->addFormerServers(former);
+}
+
 void CoordinatorFixture::replaceAtAddress(const base::ServerId& server)
 {
   servers_.at(server).held.clear();
--- a/libs/dispatch/tests/CoordinatorFixture.h
+++ b/libs/dispatch/tests/CoordinatorFixture.h
@@ -41,6 +41,8 @@
   // Starts and registers a later life of the server at another address, while the present one goes
   // on.
   void restartElsewhere(const base::ServerId& server);
+  // Tells the coordinator the addresses of earlier lives.
+  void publishFormerServers();
   void publishServers();
   void replaceAtAddress(const base::ServerId& server);
   base::ServerId addServer();
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -120,6 +120,25 @@
   CHECK(!fixture.holder(0).value().empty());
 }
 
+// Guards against keys without an owner until grants expire that their holder could release.
+TEST_CASE("a new coordinator asks the earlier life of a server to release its keys")
+{
+  CoordinatorFixture fixture(3);
+  fixture.run(seconds(5));
+  const KeyRange before = fixture.ranges().front();
+  const CoordinatorStop stop = fixture.coordinator().stopReport(fixture.now());
+  fixture.replaceCoordinator(seconds(5));
+  fixture.restartElsewhere(before.owner);
+  fixture.publishFormerServers();
+  fixture.coordinator().onPreviousCoordinatorStopped(stop);
+  for (int i = 0; i < 10; ++i) {
+    fixture.step();
+    fixture.checkSingleHolder();
+  }
+  CHECK(fixture.ranges().front().fence > before.fence);
+  CHECK(!fixture.holder(0).value().empty());
+}
+
 // Guards against two owners of a key: a previous coordinator that was cut off renewed grants for
 // seconds after a later one had reported that it had itself stopped (seen in magnolia-verse
 // trouble-1).
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -13,6 +13,7 @@
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
+#include <dispatch/FormerServers.h>
 #include <dispatch/LeavingServers.h>
 #include <dispatch/OwnershipCopy.h>
 #include <dispatch/PeerTable.h>
@@ -132,6 +133,7 @@
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
   dispatch::LeavingServers leavingServers_;
+  dispatch::FormerServers formerServers_;
   dispatch::PeerTable peerTable_;
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -335,6 +335,7 @@
         log_.write("server_gone", { { "id", id.value() } });
       }
     }
+    formerServers_.onServersChanged(*view_.servers, *servers, now);
   }
   leavingServers_.apply(*servers);
   limitSharing_.retain(*servers);
@@ -738,6 +739,7 @@
   if (view_.servers && view_.configuration) {
     coordinatorRole_.coordinator()->setServices(view_.configuration->services);
     coordinatorRole_.coordinator()->setServers(*view_.servers, clockNow());
+    coordinatorRole_.coordinator()->addFormerServers(formerServers_.servers(clockNow()));
     coordinatorRole_.coordinator()->setDomainsOut(view_.domainsOut);
     coordinatorRole_.coordinator()->setLimits(view_.limitedServers);
   }
