--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -127,8 +127,8 @@
   fixture.run(seconds(5));
   const KeyRange before = fixture.ranges().front();
   const CoordinatorStop stop = fixture.coordinator().stopReport(fixture.now());
-  fixture.replaceCoordinator(seconds(5));
   fixture.restartElsewhere(before.owner);
+  fixture.replaceCoordinator(seconds(5));
   fixture.publishFormerServers();
   fixture.coordinator().onPreviousCoordinatorStopped(stop);
   for (int i = 0; i < 10; ++i) {
