--- /dev/null
+++ b/libs/dispatch/include/dispatch/CoordinatorSettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <base/Time.h>
+#include <dispatch/RangePlacement.h>
+
+namespace sycamore::dispatch {
+
+struct CoordinatorSettings
+{
+  // Lifetime of a grant, measured by the server from the grant's arrival.
+  base::Duration grantDuration = base::milliseconds(2800);
+  // Interval between two grants of the same range.
+  base::Duration renewalInterval = base::milliseconds(800);
+  // Time after which an unanswered call is abandoned and its connection reset, so that the call
+  // can't arrive later.
+  base::Duration callTimeout = base::milliseconds(300);
+  // Factor by which a server's clock may run slower than this VM's.
+  double clockDriftFactor = 1.03;
+  // A server that has answered no call for this time is considered lost.
+  base::Duration lostTimeout = base::milliseconds(900);
+  // Time for which a coordinator may grant after the store last confirmed that it is still the
+  // coordinator.
+  base::Duration confirmationTimeout = base::milliseconds(5000);
+  PlacementSettings placement;
+};
+
+} // namespace sycamore::dispatch
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -6,19 +6,11 @@
 
 namespace {
 
-// A release uses the next fencing token, so that the server refuses late renewals of the released
-// grant. The next owner gets the token after that.
-constexpr std::uint64_t kReleaseStep = 1;
-constexpr std::uint64_t kOwnerStep = 2;
 // Interval after which an unanswered release is sent again.
 constexpr base::Duration kReleaseRetryInterval = base::milliseconds(1100);
 // Interval after which a release that wasn't sent is tried again, such as when the server had no
 // room for another connection.
 constexpr base::Duration kUnsentReleaseRetryInterval = base::milliseconds(200);
-// Interval between two probes of a lost server.
-constexpr base::Duration kProbeInterval = base::milliseconds(1000);
-// Number of consecutive unanswered calls from which on a server can be considered lost.
-constexpr unsigned kMinUnansweredCalls = 2;
 // Maximum number of ranges that get a new owner in one tick: each is compared with all servers, and
 // a coordinator that computes for longer misses its heartbeats.
 constexpr std::size_t kMaxAssignmentsPerTick = 64;
@@ -27,17 +19,13 @@
 
 } // namespace
 
-std::string incarnationOf(const base::ServerId& id, std::int64_t born)
-{
-  return id.value() + "@" + std::to_string(born);
-}
-
 KeyCoordinator::KeyCoordinator(CoordinatorSettings settings,
                                OwnershipRecord record,
                                base::TimePoint previousCoordinatorsGrantUntil,
                                base::TimePoint confirmedAt)
   : settings_(settings)
   , record_(std::move(record))
+  , incarnations_(settings)
   , previousCoordinatorsStopAt_(std::max(previousCoordinatorsGrantUntil, confirmedAt))
   , confirmedAt_(confirmedAt)
 {
@@ -56,7 +44,7 @@
 {
   servers_ = servers;
   for (const auto& [id, server] : servers_) {
-    registerIncarnation(server);
+    incarnations_.onRegistered(server);
     firstSeen_.try_emplace(server.service, now);
   }
 }
@@ -64,10 +52,7 @@
 void KeyCoordinator::addFormerServers(const std::vector<BackendServer>& servers)
 {
   for (const BackendServer& server : servers) {
-    Incarnation& incarnation = incarnations_[incarnationOf(server.id, server.born)];
-    if (incarnation.server.id.value().empty()) {
-      incarnation.server = server;
-    }
+    incarnations_.addFormer(server);
   }
 }
 
@@ -118,16 +103,9 @@
 
 CoordinatorStop KeyCoordinator::stopReport(base::TimePoint now) const
 {
-  CoordinatorStop stop{ std::max(previousCoordinatorsStopAt_, now),
-                        previousUnansweredGrantsExpireAt_ };
-  for (const auto& [name, incarnation] : incarnations_) {
-    const GrantLedger& grants = incarnation.grants;
-    const base::TimePoint expireAt = grants.hasOpenCall(0, kLastKey)
-                                       ? unansweredCallExpiresAt(now)
-                                       : grants.unansweredExpireAt(0, kLastKey);
-    stop.unansweredGrantsExpireAt = std::max(stop.unansweredGrantsExpireAt, expireAt);
-  }
-  return stop;
+  return { std::max(previousCoordinatorsStopAt_, now),
+           std::max(previousUnansweredGrantsExpireAt_,
+                    incarnations_.unansweredGrantsExpireAt(unansweredCallExpiresAt(now))) };
 }
 
 CoordinatorActions KeyCoordinator::tick(base::TimePoint now)
@@ -199,7 +177,7 @@
                                      base::TimePoint now)
 {
   const std::string incarnation = incarnationOf(order.server.id, order.server.born);
-  GrantLedger& grants = incarnations_[incarnation].grants;
+  GrantLedger& grants = incarnations_.grantsTo(incarnation);
   const base::TimePoint expiresAt = now + grantDurationBound();
   if (answer == GrantAnswer::NotSent) {
     grants.onCallNotSent(order.from, order.to, order.fence);
@@ -209,9 +187,9 @@
     grants.onCallAnswered(order.from, order.to, order.fence, expiresAt);
   }
   if (answer == GrantAnswer::OutcomeUnknown || answer == GrantAnswer::NotSent) {
-    onCallUnanswered(incarnation, now);
+    incarnations_.onCallUnanswered(incarnation, now);
   } else {
-    onCallAnswered(incarnation);
+    incarnations_.onCallAnswered(incarnation);
   }
   for (ManagedRange* managed : rangesOf(order.service, order.from, order.to, order.fence)) {
     if (managed->phase != Phase::Owned) {
@@ -246,9 +224,9 @@
   const bool isAnswered =
     answer.kind == ReleaseAnswer::Kind::Released || answer.kind == ReleaseAnswer::Kind::OtherServer;
   if (isAnswered) {
-    onCallAnswered(incarnation);
+    incarnations_.onCallAnswered(incarnation);
   } else {
-    onCallUnanswered(incarnation, now);
+    incarnations_.onCallUnanswered(incarnation, now);
   }
   for (ManagedRange* managed :
        rangesOf(order.service, order.from, order.to, order.fence - kReleaseStep)) {
@@ -270,7 +248,7 @@
 
 void KeyCoordinator::onServerProcessEnded(const BackendServer& server)
 {
-  incarnations_[incarnationOf(server.id, server.born)].hasEnded = true;
+  incarnations_.onEnded(incarnationOf(server.id, server.born));
 }
 
 std::size_t KeyCoordinator::managedRanges() const
@@ -300,8 +278,7 @@
 
 bool KeyCoordinator::hasOwnerEnded(const KeyRange& range) const
 {
-  const auto incarnation = incarnations_.find(incarnationOf(range.owner, range.born));
-  return incarnation != incarnations_.end() && incarnation->second.hasEnded;
+  return incarnations_.hasEnded(incarnationOf(range.owner, range.born));
 }
 
 const BackendServer* KeyCoordinator::nextIncarnation(const KeyRange& range) const
@@ -310,36 +287,25 @@
   return found != servers_.end() && found->second.born > range.born ? &found->second : nullptr;
 }
 
-bool KeyCoordinator::isLost(const std::string& incarnation, base::TimePoint now) const
-{
-  const auto found = incarnations_.find(incarnation);
-  return found != incarnations_.end() && found->second.unansweredCalls >= kMinUnansweredCalls &&
-         now >= found->second.unansweredSince + settings_.lostTimeout;
-}
-
 bool KeyCoordinator::isUsable(const BackendServer& server, base::TimePoint now) const
 {
   const std::string incarnation = incarnationOf(server.id, server.born);
-  const auto found = incarnations_.find(incarnation);
-  const bool hasEnded = found != incarnations_.end() && found->second.hasEnded;
-  return !hasEnded && !server.draining && !domainsOut_.contains(server.domain) &&
-         !isLost(incarnation, now);
+  return !incarnations_.hasEnded(incarnation) && !server.draining &&
+         !domainsOut_.contains(server.domain) && !incarnations_.isLost(incarnation, now);
 }
 
 base::TimePoint KeyCoordinator::allGrantsExpireAt(const std::string& incarnation) const
 {
   const base::TimePoint previousGrantsExpireAt =
     unansweredCallExpiresAt(previousCoordinatorsStopAt_);
-  const auto found = incarnations_.find(incarnation);
-  return found == incarnations_.end()
-           ? previousGrantsExpireAt
-           : std::max(previousGrantsExpireAt, found->second.grants.allExpireAt());
+  const GrantLedger* const grants = incarnations_.findGrants(incarnation);
+  return grants == nullptr ? previousGrantsExpireAt
+                           : std::max(previousGrantsExpireAt, grants->allExpireAt());
 }
 
 const GrantLedger* KeyCoordinator::grantsToOwner(const KeyRange& range) const
 {
-  const auto found = incarnations_.find(incarnationOf(range.owner, range.born));
-  return found == incarnations_.end() ? nullptr : &found->second.grants;
+  return incarnations_.findGrants(incarnationOf(range.owner, range.born));
 }
 
 base::TimePoint KeyCoordinator::unansweredGrantsExpireAt(const KeyRange& range) const
@@ -361,11 +327,6 @@
   return begunAt + settings_.callTimeout + grantDurationBound();
 }
 
-void KeyCoordinator::registerIncarnation(const BackendServer& server)
-{
-  incarnations_[incarnationOf(server.id, server.born)].server = server;
-}
-
 std::vector<PlacementServer> KeyCoordinator::placementServers(const base::ServiceId& service,
                                                               base::TimePoint now) const
 {
@@ -462,7 +423,8 @@
     return;
   }
   // A lost server won't answer a release, so its range is free only once its grants have expired.
-  const bool mayAnswer = nextIncarnation(managed.range) != nullptr || !isLost(incarnation, now);
+  const bool mayAnswer =
+    nextIncarnation(managed.range) != nullptr || !incarnations_.isLost(incarnation, now);
   if (holdsNothing) {
     free(managed, freedBy, now);
   } else if (mayAnswer && now >= previousCoordinatorsStopAt_) {
@@ -484,19 +446,20 @@
                            base::TimePoint now)
 {
   const std::string incarnation = incarnationOf(managed.range.owner, managed.range.born);
-  const auto known = incarnations_.find(incarnation);
-  if (managed.phase != Phase::Owned || now < managed.nextCallAt || known == incarnations_.end() ||
-      known->second.server.id != managed.range.owner || known->second.hasEnded ||
-      nextIncarnation(managed.range) != nullptr || isLost(incarnation, now)) {
+  const BackendServer* const owner = incarnations_.find(incarnation);
+  if (managed.phase != Phase::Owned || now < managed.nextCallAt || owner == nullptr ||
+      incarnations_.hasEnded(incarnation) || nextIncarnation(managed.range) != nullptr ||
+      incarnations_.isLost(incarnation, now)) {
     return;
   }
   managed.nextCallAt = now + settings_.renewalInterval;
-  known->second.grants.onCallBegun(managed.range.from, managed.range.to, managed.range.fence);
+  incarnations_.grantsTo(incarnation)
+    .onCallBegun(managed.range.from, managed.range.to, managed.range.fence);
   actions.grants.push_back({ service,
                              managed.range.from,
                              managed.range.to,
                              managed.range.fence,
-                             known->second.server,
+                             *owner,
                              managed.handover,
                              now + settings_.callTimeout });
 }
@@ -515,20 +478,18 @@
   }
   // The release goes where the grants went: a later life at another address may answer while the
   // owner still runs.
-  const auto known = incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
+  const BackendServer* const owner =
+    incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
   managed.nextCallAt = now + kReleaseRetryInterval;
-  if (known == incarnations_.end() || known->second.server.id != managed.range.owner) {
+  if (owner == nullptr) {
     return;
   }
-  actions.releases.push_back({ service,
-                               managed.range.from,
-                               managed.range.to,
-                               managed.range.fence + kReleaseStep,
-                               known->second.server });
+  actions.releases.push_back(
+    { service, managed.range.from, managed.range.to, managed.range.fence + kReleaseStep, *owner });
 }
 
 void KeyCoordinator::assignUnowned(const base::ServiceId& service,
-                                   Ranges& ranges,
+                                   ManagedRanges& ranges,
                                    CoordinatorActions& actions,
                                    base::TimePoint now)
 {
@@ -570,14 +531,18 @@
   }
 }
 
-void KeyCoordinator::planMoves(const base::ServiceId& service, Ranges& ranges, base::TimePoint now)
+void KeyCoordinator::planMoves(const base::ServiceId& service,
+                               ManagedRanges& ranges,
+                               base::TimePoint now)
 {
   const auto moving = static_cast<std::size_t>(
     std::count_if(ranges.begin(), ranges.end(), [](const ManagedRange& managed) {
       return managed.target.has_value() || managed.phase != Phase::Owned;
     }));
   auto servers = placementServers(service, now);
-  mergeOwnedRanges(ranges, servers.size());
+  if (hasTooManyRanges(ranges, servers.size()) && mergeOwnedRanges(ranges)) {
+    hasUnwrittenChanges_ = true;
+  }
   const std::size_t atOnce = std::max<std::size_t>(
     settings_.placement.maxConcurrentMoves, servers.size() / settings_.placement.serversPerMove);
   for (std::size_t i = moving; i < atOnce; ++i) {
@@ -599,59 +564,12 @@
   }
 }
 
-// Splits the moving part off its range. The split changes no owner, so that it is written together
-// with the move.
-void KeyCoordinator::startMove(Ranges& ranges, const PlannedMove& move)
+// Splits add ranges, and each range costs one call per renewal.
+bool KeyCoordinator::hasTooManyRanges(const ManagedRanges& ranges, std::size_t servers) const
 {
-  for (std::size_t i = 0; i < ranges.size(); ++i) {
-    if (move.from < ranges[i].range.from || move.to > ranges[i].range.to) {
-      continue;
-    }
-    if (ranges[i].range.from < move.from) {
-      ManagedRange before = ranges[i];
-      before.range.to = static_cast<KeyNumber>(move.from - 1);
-      ranges[i].range.from = move.from;
-      ranges.insert(ranges.begin() + static_cast<std::ptrdiff_t>(i), before);
-      ++i;
-    }
-    if (move.to < ranges[i].range.to) {
-      ManagedRange after = ranges[i];
-      after.range.from = static_cast<KeyNumber>(move.to + 1);
-      ranges[i].range.to = move.to;
-      ranges.insert(ranges.begin() + static_cast<std::ptrdiff_t>(i) + 1, after);
-    }
-    ranges[i].target = move.target;
-    return;
-  }
-}
-
-// Splits add ranges, and each range costs one call per renewal. Adjacent ranges of the same owner
-// are merged into one under a fencing token above both, for which the owner needs no release.
-void KeyCoordinator::mergeOwnedRanges(Ranges& ranges, std::size_t servers)
-{
-  const double limit = kMergeFactor * static_cast<double>(servers) *
-                       initialRangesPerServer(servers, settings_.placement);
-  if (static_cast<double>(ranges.size()) < limit) {
-    return;
-  }
-  for (std::size_t i = 0; i + 1 < ranges.size();) {
-    ManagedRange& left = ranges[i];
-    const ManagedRange& right = ranges[i + 1];
-    const bool mergeable = left.phase == Phase::Owned && right.phase == Phase::Owned &&
-                           !left.target && !right.target && left.handover.empty() &&
-                           right.handover.empty() && left.range.owner == right.range.owner &&
-                           left.range.born == right.range.born;
-    if (!mergeable) {
-      ++i;
-      continue;
-    }
-    left.range.to = right.range.to;
-    left.range.fence = std::max(left.range.fence, right.range.fence) + kOwnerStep;
-    left.phase = Phase::AwaitingWrite;
-    hasUnwrittenChanges_ = true;
-    ranges.erase(ranges.begin() + static_cast<std::ptrdiff_t>(i) + 1);
-    ++i;
-  }
+  return static_cast<double>(ranges.size()) >=
+         kMergeFactor * static_cast<double>(servers) *
+           initialRangesPerServer(servers, settings_.placement);
 }
 
 // Probes lost servers by asking them to release a key. After its ranges have moved a lost server
@@ -659,21 +577,15 @@
 // again.
 void KeyCoordinator::probeLost(CoordinatorActions& actions, base::TimePoint now)
 {
-  for (auto& [name, incarnation] : incarnations_) {
-    const auto present = servers_.find(incarnation.server.id);
-    if (!isLost(name, now) || now < incarnation.nextProbeAt || present == servers_.end() ||
-        present->second.born != incarnation.server.born) {
-      continue;
-    }
-    incarnation.nextProbeAt = now + kProbeInterval;
-    actions.releases.push_back({ incarnation.server.service, 0, 0, 0, incarnation.server });
+  for (const BackendServer& server : incarnations_.takeDueProbes(servers_, now)) {
+    actions.releases.push_back({ server.service, 0, 0, 0, server });
   }
 }
 
-std::vector<KeyCoordinator::ManagedRange*> KeyCoordinator::rangesOf(const base::ServiceId& service,
-                                                                    KeyNumber from,
-                                                                    KeyNumber to,
-                                                                    std::uint64_t fence)
+std::vector<ManagedRange*> KeyCoordinator::rangesOf(const base::ServiceId& service,
+                                                    KeyNumber from,
+                                                    KeyNumber to,
+                                                    std::uint64_t fence)
 {
   std::vector<ManagedRange*> result;
   const auto found = ranges_.find(service);
@@ -688,22 +600,6 @@
   return result;
 }
 
-void KeyCoordinator::onCallAnswered(const std::string& name)
-{
-  Incarnation& incarnation = incarnations_[name];
-  incarnation.unansweredCalls = 0;
-  incarnation.unansweredSince = {};
-}
-
-void KeyCoordinator::onCallUnanswered(const std::string& name, base::TimePoint now)
-{
-  Incarnation& incarnation = incarnations_[name];
-  if (incarnation.unansweredCalls == 0) {
-    incarnation.unansweredSince = now - settings_.callTimeout;
-  }
-  ++incarnation.unansweredCalls;
-}
-
 void KeyCoordinator::refreshRecord()
 {
   for (const auto& [service, ranges] : ranges_) {
