Forget former servers without being asked, act as coordinator only while confirmed

- FormerServers was emptied only while it was read, which the coordinator alone does; on other VMs it grew for the life of the process.
- A release may be written only while the store has confirmed this VM as the coordinator, as a grant.
One that was connecting while its VM was frozen could take keys from their owner for a moment.
- The guard that leaves a new coordinator time for its first heartbeat compares processes, not VM names.
- An answer without an id on a kept connection to a server closes the other kept ones too, as a foreign answer does.
- CoordinatorRoleTest holds that grants and releases carry ids, and releases connections, of their own.
- The wait for earlier processes has a function of its own; the parameter has the name that stop reports use.

--- a/libs/dispatch/include/dispatch/FormerServers.h
+++ b/libs/dispatch/include/dispatch/FormerServers.h
@@ -3,6 +3,7 @@
 #include <base/Time.h>
 #include <dispatch/BackendServer.h>
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -20,7 +21,9 @@
                         base::TimePoint now);
 
   // Returns the servers that may still hold keys.
-  std::vector<BackendServer> servers(base::TimePoint now);
+  std::vector<BackendServer> servers(base::TimePoint now) const;
+  // Returns the number of servers that take memory.
+  std::size_t size() const { return former_.size(); }
 
 private:
   struct Former
--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -30,12 +30,12 @@
 class KeyCoordinator
 {
 public:
-  // `record` is the record in the store. `previousCoordinatorsGrantUntil` is the time until which
+  // `record` is the record in the store. `previousCoordinatorsStopAt` is the time until which
   // any previous coordinator may still grant. `confirmedAt` is the time of the call by whose answer
   // the store confirmed this VM as the coordinator.
   KeyCoordinator(CoordinatorSettings settings,
                  OwnershipRecord record,
-                 base::TimePoint previousCoordinatorsGrantUntil,
+                 base::TimePoint previousCoordinatorsStopAt,
                  base::TimePoint confirmedAt);
 
   const OwnershipRecord& record() const { return record_; }
@@ -72,6 +72,9 @@
   // fencing token by that write.
   std::map<base::ServiceId, KeyRanges> onRecordWritten(base::TimePoint now);
 
+  // Returns whether the store has confirmed this VM as the coordinator recently enough that it may
+  // act as such.
+  bool isConfirmed(base::TimePoint now) const;
   // Returns whether a grant may be written to a connection now. Time may have passed since tick().
   bool maySend(const GrantOrder& order, base::TimePoint now) const;
   void onGrantAnswered(const GrantOrder& order, GrantAnswer answer, base::TimePoint now);
--- a/libs/dispatch/src/FormerServers.cpp
+++ b/libs/dispatch/src/FormerServers.cpp
@@ -13,6 +13,7 @@
                                      const std::map<base::ServerId, BackendServer>& after,
                                      base::TimePoint now)
 {
+  std::erase_if(former_, [now](const Former& former) { return now >= former.forgetAt; });
   for (const auto& [id, server] : before) {
     const auto present = after.find(id);
     if (present == after.end() || present->second.born != server.born) {
@@ -21,13 +22,13 @@
   }
 }
 
-std::vector<BackendServer> FormerServers::servers(base::TimePoint now)
+std::vector<BackendServer> FormerServers::servers(base::TimePoint now) const
 {
-  std::erase_if(former_, [now](const Former& former) { return now >= former.forgetAt; });
   std::vector<BackendServer> result;
-  result.reserve(former_.size());
   for (const Former& former : former_) {
-    result.push_back(former.server);
+    if (now < former.forgetAt) {
+      result.push_back(former.server);
+    }
   }
   return result;
 }
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -21,12 +21,12 @@
 
 KeyCoordinator::KeyCoordinator(CoordinatorSettings settings,
                                OwnershipRecord record,
-                               base::TimePoint previousCoordinatorsGrantUntil,
+                               base::TimePoint previousCoordinatorsStopAt,
                                base::TimePoint confirmedAt)
   : settings_(settings)
   , record_(std::move(record))
   , incarnations_(settings)
-  , previousCoordinatorsStopAt_(std::max(previousCoordinatorsGrantUntil, confirmedAt))
+  , previousCoordinatorsStopAt_(std::max(previousCoordinatorsStopAt, confirmedAt))
   , confirmedAt_(confirmedAt)
 {
   if (!record_.services.empty()) {
@@ -111,7 +111,7 @@
 CoordinatorActions KeyCoordinator::tick(base::TimePoint now)
 {
   CoordinatorActions actions;
-  if (now >= confirmedAt_ + settings_.confirmationTimeout) {
+  if (!isConfirmed(now)) {
     return actions;
   }
   for (const auto& [service, policy] : services_) {
@@ -167,9 +167,14 @@
   return changes;
 }
 
+bool KeyCoordinator::isConfirmed(base::TimePoint now) const
+{
+  return now < confirmedAt_ + settings_.confirmationTimeout;
+}
+
 bool KeyCoordinator::maySend(const GrantOrder& order, base::TimePoint now) const
 {
-  return now < order.sendBy && now < confirmedAt_ + settings_.confirmationTimeout;
+  return now < order.sendBy && isConfirmed(now);
 }
 
 void KeyCoordinator::onGrantAnswered(const GrantOrder& order,
--- a/libs/dispatch/tests/FormerServersTest.cpp
+++ b/libs/dispatch/tests/FormerServersTest.cpp
@@ -32,3 +32,17 @@
   clock.advance(seconds(60));
   CHECK(former.servers(clock.now()).empty());
 }
+
+// Guards against a list that grows for as long as the VM isn't the coordinator, which alone reads
+// it.
+TEST_CASE("former servers are forgotten without being read")
+{
+  base::ManualClock clock;
+  FormerServers former;
+  for (std::int64_t born = 1; born < 100; ++born) {
+    former.onServersChanged(
+      registered(born, "10.0.0.1:80"), registered(born + 1, "10.0.0.1:80"), clock.now());
+    clock.advance(seconds(20));
+  }
+  CHECK(former.size() == 1);
+}
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -58,6 +58,8 @@
 
 private:
   void onRecordReadForTakeover(const StoreAnswer& answer, std::uint64_t knownEpoch);
+  // Returns whether a coordinator was this process, or an earlier one of this VM that has ended.
+  bool wasHere(const dispatch::Coordinator& coordinator) const;
   void beginTerm(dispatch::OwnershipRecord record,
                  std::uint64_t revision,
                  base::TimePoint previousCoordinatorsStopAt,
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -94,19 +94,17 @@
     takeoverPending_ = false;
     return;
   }
-  const dispatch::Coordinator previous = record.coordinator;
-  if (record.epoch > knownEpoch && !previous.vm.value().empty() && previous.vm != self_.vm) {
-    // Another VM has just become the coordinator; leave it time for its first heartbeat.
+  const bool hadCoordinator = !record.coordinator.vm.value().empty();
+  if (record.epoch > knownEpoch && hadCoordinator && !wasHere(record.coordinator)) {
+    // Another process has just become the coordinator; leave it time for its first heartbeat.
     takeoverPending_ = false;
     otherCoordinatorListener_(record, revision);
     return;
   }
-  // No other VM can be granting if there was no previous coordinator. An earlier process at this
-  // address has ended as well, since this one could bind its port, but the coordinators before that
-  // process may still be granting.
-  const bool isEarlierProcess = previous.vm == self_.vm && previous.address == self_.address;
+  // No other process can be granting if there was no previous coordinator. An earlier one of this
+  // VM has stopped, but the coordinators before it may still be granting.
   const bool previousCoordinatorsStopped =
-    previous.vm.value().empty() || (isEarlierProcess && record.previousCoordinatorsStopped);
+    !hadCoordinator || (wasHere(record.coordinator) && record.previousCoordinatorsStopped);
   record.coordinator = self_;
   record.previousCoordinatorsStopped = previousCoordinatorsStopped;
   ++record.epoch;
@@ -136,6 +134,13 @@
     });
 }
 
+// An earlier process at this address has ended, since this one could bind the port that a running
+// process keeps for itself.
+bool CoordinatorRole::wasHere(const dispatch::Coordinator& coordinator) const
+{
+  return coordinator.vm == self_.vm && coordinator.address == self_.address;
+}
+
 void CoordinatorRole::beginTerm(dispatch::OwnershipRecord record,
                                 std::uint64_t revision,
                                 base::TimePoint previousCoordinatorsStopAt,
@@ -153,7 +158,7 @@
              { { "epoch", record.epoch },
                { "revision", revision },
                { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) },
-               { "confirmed_ms", millisecondsFrom(confirmedAt, now) } });
+               { "confirmed_ago_ms", millisecondsFrom(confirmedAt, now) } });
   coordinator_ = std::make_unique<dispatch::KeyCoordinator>(
     settings_, std::move(record), previousCoordinatorsStopAt, confirmedAt);
 }
@@ -342,7 +347,10 @@
       return;
     }
     const dispatch::GrantAnswer answer = grantAnswerOf(result);
-    if (result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown) {
+    const bool isAmbiguous = result.end == ExchangeEnd::Malformed && result.reused;
+    const bool isForeign =
+      result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
+    if (isAmbiguous || isForeign) {
       // The next call gets a new connection, where the answer is certain to be its own.
       calls_.closeIdle(endpointOf(order.server));
     }
@@ -372,7 +380,9 @@
              wire::releaseBody(order),
              newCallId(),
              kReleaseTimeout,
-             nullptr,
+             [this, term = term_] {
+               return term == term_ && coordinator_->isConfirmed(clockNow());
+             },
              true };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("release", order.server.domain == domain_, result.bytes);
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -3,10 +3,14 @@
 #include <entry/CoordinatorRole.h>
 #include <entry/SteadyTime.h>
 
+#include <ServerTexts.h>
 #include <StoreTexts.h>
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <set>
+
 using namespace sycamore;
 using namespace sycamore::entry;
 using namespace sycamore::wire::testing;
@@ -15,6 +19,9 @@
 
 namespace {
 
+// Epoch of the record that the tests put into the store.
+constexpr std::uint64_t kKnownEpoch = 4;
+
 std::string answer(const std::string& status, const std::string& body)
 {
   return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
@@ -92,11 +99,25 @@
   const dispatch::Coordinator& self() const { return self_; }
   const dispatch::KeyCoordinator& coordinator() const { return *role_.coordinator(); }
 
+  asio::io_context& context() { return context_; }
+  dispatch::KeyCoordinator& coordinator() { return *role_.coordinator(); }
+
+  // Runs the role until the condition holds, for 3 s at most.
+  void runUntil(const std::function<bool()>& condition)
+  {
+    const base::TimePoint deadline = clockNow() + seconds(3);
+    while (!condition() && clockNow() < deadline) {
+      role_.tick(clockNow());
+      context_.restart();
+      context_.run_one_for(milliseconds(20));
+    }
+  }
+
   // Returns whether this VM has become the coordinator.
   bool tryTakeover()
   {
     const std::uint64_t failures = storeClient_.calls().failed;
-    role_.tryTakeover(0);
+    role_.tryTakeover(kKnownEpoch);
     const base::TimePoint deadline = clockNow() + seconds(3);
     while (!role_.active() && storeClient_.calls().failed == failures && clockNow() < deadline) {
       context_.restart();
@@ -120,7 +141,7 @@
 dispatch::OwnershipRecord recordOf(const dispatch::Coordinator& coordinator)
 {
   dispatch::OwnershipRecord record;
-  record.epoch = 4;
+  record.epoch = kKnownEpoch;
   record.coordinator = coordinator;
   record.previousCoordinatorsStopped = true;
   return record;
@@ -177,3 +198,40 @@
   REQUIRE(role.tryTakeover());
   CHECK(role.coordinator().record().epoch == 2);
 }
+
+// Guards against grants and releases whose own answers can't be told from late copies of others.
+TEST_CASE("each grant and release carries an id of its own, and a release its own connection")
+{
+  Role role;
+  std::set<std::string> ids;
+  bool isReleased = false;
+  unsigned acceptedBefore = 0;
+  FakeServer server(role.context(), [&](const std::string& request) {
+    ids.insert(requestIdOf(request));
+    isReleased = isReleased || request.find("/release") != std::string::npos;
+    return FakeServer::Reaction{ validAnswer(requestIdOf(request), "") };
+  });
+  const base::ServiceId service("layout");
+  dispatch::BackendServer registered;
+  registered.id = base::ServerId("s0");
+  registered.born = 1;
+  registered.service = service;
+  registered.address = "127.0.0.1:" + std::to_string(server.port());
+  dispatch::OwnershipRecord record = recordOf(role.self());
+  record.services[service] = { { 0, 1000, registered.id, 1, 3 },
+                               { 1001, dispatch::kLastKey, registered.id, 1, 3 } };
+  role.store().setRecord(record);
+  REQUIRE(role.tryTakeover());
+  role.coordinator().setServices({ { service, { 120, 10, true } } });
+  role.coordinator().setServers({ { registered.id, registered } }, clockNow());
+  role.runUntil([&] { return server.requests().size() >= 4; });
+  CHECK(ids.size() == server.requests().size());
+  CHECK(ids.count("") == 0);
+  acceptedBefore = server.accepted();
+  registered.draining = true;
+  role.coordinator().setServers({ { registered.id, registered } }, clockNow());
+  role.runUntil([&] { return isReleased; });
+  CHECK(isReleased);
+  CHECK(ids.size() == server.requests().size());
+  CHECK(server.accepted() > acceptedBefore);
+}
