Give the permits of a limited server to the more urgent requests first

Callers of urgent routes were refused as often as others while a server named a limit: the coordinator gave permits to whichever VM asked first, and within a VM whichever request looked first took them.

A question for permits now carries the priority of the request that needs one. PermitReserve keeps a part of the saved-up permits from less urgent requests while more urgent ones ask too. At each VM, a permit goes to the most urgent waiting request (PermitWait), and a denial no longer holds for more urgent requests. A request for which the next permit is due in its time waits for it; others are refused at once as before.

PeerMessage, EntryControl and EntryProcess only pass the priority on.

--- a/libs/dispatch/include/dispatch/PriorityThrottle.h
+++ b/libs/dispatch/include/dispatch/PriorityThrottle.h
@@ -2,6 +2,7 @@
 
 #include <base/Time.h>
 
+#include <algorithm>
 #include <array>
 
 namespace sycamore::dispatch {
@@ -38,4 +39,10 @@
   base::TimePoint decayedAt_{};
 };
 
+// Returns the index of a priority among the distinct ones.
+constexpr unsigned priorityLevel(unsigned priority)
+{
+  return std::min(priority, PriorityThrottle::kPriorityLevels - 1);
+}
+
 } // namespace sycamore::dispatch
--- a/libs/dispatch/src/PermitIssuer.cpp
+++ b/libs/dispatch/src/PermitIssuer.cpp
@@ -1,7 +1,7 @@
 #include <dispatch/PermitIssuer.h>
 
 #include <algorithm>
-#include <cmath>
+#include <numeric>
 
 namespace sycamore::dispatch {
 
@@ -12,44 +12,68 @@
 // Permits of this time, and this many in any case, can be saved up, so that a short pause of the
 // traffic wastes none of the limit.
 constexpr double kBurstSeconds = 0.25;
-constexpr double kMinBurst = 3;
+constexpr double kMinBurst = 4;
 // Longest time after which a VM is told to ask again. A caller that comes back finds a VM that
 // knows more.
 constexpr double kMaxRetrySeconds = 1;
 // Time after which the bucket of a server for which nobody asks is forgotten.
 constexpr base::Duration kUnusedTimeout = std::chrono::minutes(1);
 
+double capacityOf(const RequestLimit& limit)
+{
+  return std::max(kMinBurst, limit.perSecond * kBurstSeconds);
+}
+
 } // namespace
 
-PermitGrant PermitIssuer::request(const LimitedServer& limited,
-                                  unsigned wanted,
+PermitGrant PermitIssuer::request(const PermitQuestion& question,
                                   bool isSoleIssuer,
                                   base::TimePoint now)
 {
-  const double rate = limited.limit.perSecond * (isSoleIssuer ? 1 : kSharedIssuerShare);
-  Bucket& bucket = buckets_[limited.server.id];
-  if (bucket.filledAt == base::TimePoint{} || bucket.born != limited.server.born) {
-    bucket = { limited.server.born, 0, now, 0 };
-    forgetUnused(now);
-  }
-  const double elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
-  const double capacity = std::max(kMinBurst, limited.limit.perSecond * kBurstSeconds);
-  bucket.permits = std::min(capacity, bucket.permits + std::max(0.0, elapsed) * rate);
-  bucket.filledAt = now;
-  const auto count = std::min(wanted, static_cast<unsigned>(bucket.permits));
+  const double rate = question.limited.limit.perSecond * (isSoleIssuer ? 1 : kSharedIssuerShare);
+  Bucket& bucket = filledBucket(question.limited, rate, now);
+  const unsigned level = priorityLevel(question.priority);
+  const double reserve =
+    bucket.reserve.reserveFor(question.priority, capacityOf(question.limited.limit), rate, now);
+  const double available = std::max(0.0, bucket.permits - reserve);
+  const auto count = std::min(question.wanted, static_cast<unsigned>(available));
   if (count > 0) {
     bucket.permits -= count;
-    bucket.waiting = std::max(0.0, bucket.waiting - count);
+    bucket.waiting[level] = std::max(0.0, bucket.waiting[level] - count);
+    bucket.reserve.onGranted(question.priority, now);
     return { count, {} };
   }
-  // Each VM that waits gets a later time, so that they don't all ask for the next permit.
-  const double seconds = (1 - bucket.permits + bucket.waiting) / rate;
-  bucket.waiting = std::min(bucket.waiting + 1, rate * kMaxRetrySeconds);
+  // Each VM that waits gets a later time, so that they don't all ask for the next permit. Less
+  // urgent requests that wait don't count, since they come later.
+  const double waiting =
+    std::accumulate(bucket.waiting.begin(), bucket.waiting.begin() + level + 1, 0.0);
+  const double seconds = (1 + reserve - bucket.permits + waiting) / rate;
+  bucket.waiting[level] = std::min(bucket.waiting[level] + 1, rate * kMaxRetrySeconds);
+  bucket.reserve.onDenied(question.priority, now);
   return { 0,
            std::chrono::duration_cast<base::Duration>(
              std::chrono::duration<double>(std::min(seconds, kMaxRetrySeconds))) };
 }
 
+// Returns the server's bucket with the permits that have come in until now.
+PermitIssuer::Bucket& PermitIssuer::filledBucket(const LimitedServer& limited,
+                                                 double rate,
+                                                 base::TimePoint now)
+{
+  Bucket& bucket = buckets_[limited.server.id];
+  if (bucket.filledAt == base::TimePoint{} || bucket.born != limited.server.born) {
+    bucket = {};
+    bucket.born = limited.server.born;
+    bucket.filledAt = now;
+    forgetUnused(now);
+  }
+  const double elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
+  bucket.permits =
+    std::min(capacityOf(limited.limit), bucket.permits + std::max(0.0, elapsed) * rate);
+  bucket.filledAt = now;
+  return bucket;
+}
+
 void PermitIssuer::forgetUnused(base::TimePoint now)
 {
   std::erase_if(buckets_,
--- a/libs/dispatch/src/PriorityThrottle.cpp
+++ b/libs/dispatch/src/PriorityThrottle.cpp
@@ -57,7 +57,7 @@
 
 PriorityThrottle::Counts& PriorityThrottle::countsOf(unsigned priority)
 {
-  return counts_[std::min(priority, kPriorityLevels - 1)];
+  return counts_[priorityLevel(priority)];
 }
 
 } // namespace sycamore::dispatch
--- a/libs/dispatch/src/RequestPermits.cpp
+++ b/libs/dispatch/src/RequestPermits.cpp
@@ -1,6 +1,8 @@
 #include <dispatch/RequestPermits.h>
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace sycamore::dispatch {
 
@@ -67,7 +69,9 @@
   }
 }
 
-PermitDecision RequestPermits::tryTake(std::size_t entryVms, base::TimePoint now)
+PermitDecision RequestPermits::tryTake(const PermitSeeker& seeker,
+                                       std::size_t entryVms,
+                                       base::TimePoint now)
 {
   if (!limit_) {
     return PermitDecision::Send;
@@ -75,35 +79,52 @@
   while (!permits_.empty() && now >= permits_.front()) {
     permits_.pop_front();
   }
-  if (!permits_.empty()) {
+  if (permits_.size() > waitingBefore(seeker.priority, now)) {
     permits_.pop_front();
+    reserve_.onGranted(seeker.priority, now);
     return PermitDecision::Send;
   }
-  return decideWithoutPermit(entryVms, now);
+  return decideWithoutPermit(seeker, entryVms, now);
 }
 
-PermitDecision RequestPermits::decideWithoutPermit(std::size_t entryVms, base::TimePoint now)
+PermitDecision RequestPermits::decideWithoutPermit(const PermitSeeker& seeker,
+                                                   std::size_t entryVms,
+                                                   base::TimePoint now)
 {
   if (isAsking_ && now >= askedAt_ + kAnswerTimeout) {
     isAsking_ = false;
     ++unansweredQuestions_;
-    nextQuestionAt_ = unansweredQuestions_ < kMaxUnansweredQuestions ? now : now + kRetryInterval;
+    nextQuestionAt_.fill(unansweredQuestions_ < kMaxUnansweredQuestions ? now
+                                                                        : now + kRetryInterval);
   }
   const bool isWithoutIssuer = unansweredQuestions_ >= kMaxUnansweredQuestions;
-  if (isWithoutIssuer && share_.tryTake(limit_->perSecond * kUnissuedShare, entryVms, now)) {
+  if (isWithoutIssuer && waitingBefore(seeker.priority, now) == 0 &&
+      share_.tryTake(limit_->perSecond * kUnissuedShare, entryVms, now)) {
     return PermitDecision::Send;
   }
   if (isAsking_) {
     return isWithoutIssuer ? PermitDecision::Refuse : PermitDecision::Wait;
   }
-  if (now < nextQuestionAt_) {
-    return PermitDecision::Refuse;
+  const unsigned level = priorityLevel(seeker.priority);
+  if (now < nextQuestionAt_[level]) {
+    const bool isInTime = nextQuestionAt_[level] < seeker.latestSendAt;
+    return isInTime && !isWithoutIssuer ? PermitDecision::Wait : PermitDecision::Refuse;
   }
   isAsking_ = true;
+  askedLevel_ = level;
   askedAt_ = now;
   return PermitDecision::Ask;
 }
 
+std::size_t RequestPermits::waitingBefore(unsigned priority, base::TimePoint now) const
+{
+  if (reserve_.isPassedOver(priority, limit_->perSecond, now)) {
+    return 0;
+  }
+  return std::accumulate(
+    waiting_.begin(), waiting_.begin() + priorityLevel(priority), std::size_t{ 0 });
+}
+
 unsigned RequestPermits::wanted() const
 {
   const double perSecond = limit_.value_or(RequestLimit{ 1 }).perSecond;
@@ -117,15 +138,40 @@
   }
   isAsking_ = false;
   unansweredQuestions_ = 0;
-  nextQuestionAt_ = now + grant.retryIn;
+  if (grant.count == 0) {
+    reserve_.onDenied(askedLevel_, now);
+    onDenied(now + grant.retryIn);
+  } else {
+    std::fill(nextQuestionAt_.begin(), nextQuestionAt_.begin() + askedLevel_ + 1, now);
+  }
   for (unsigned i = 0; i < grant.count; ++i) {
     permits_.push_back(askedAt_ + kPermitLifetime);
   }
 }
 
-base::Duration RequestPermits::retryIn(base::TimePoint now) const
+void RequestPermits::onDenied(base::TimePoint retryAt)
+{
+  nextQuestionAt_[askedLevel_] = retryAt;
+  for (unsigned level = askedLevel_ + 1; level < nextQuestionAt_.size(); ++level) {
+    nextQuestionAt_[level] = std::max(nextQuestionAt_[level], retryAt);
+  }
+}
+
+base::Duration RequestPermits::retryIn(unsigned priority, base::TimePoint now) const
+{
+  return std::max(base::Duration::zero(), nextQuestionAt_[priorityLevel(priority)] - now);
+}
+
+PermitWait::PermitWait(std::shared_ptr<RequestPermits> permits, unsigned priority)
+  : permits_(std::move(permits))
+  , level_(priorityLevel(priority))
+{
+  ++permits_->waiting_[level_];
+}
+
+PermitWait::~PermitWait()
 {
-  return std::max(base::Duration::zero(), nextQuestionAt_ - now);
+  --permits_->waiting_[level_];
 }
 
 } // namespace sycamore::dispatch
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -85,7 +85,7 @@
   using LimitListener =
     std::function<void(const dispatch::ServerIncarnation&, std::optional<dispatch::RequestLimit>)>;
   // Notified when permits are needed; onPermitGrant() brings the answer.
-  using PermitListener = std::function<void(const dispatch::LimitedServer&, unsigned wanted)>;
+  using PermitListener = std::function<void(const dispatch::PermitQuestion&)>;
 
   Dispatcher(asio::io_context& context,
              const dispatch::EntrySettings& settings,
@@ -142,8 +142,10 @@
     std::uint64_t* counter = nullptr;
     // The server whose load or state was the reason, if any.
     std::shared_ptr<ServerPool> decidingServer = nullptr;
-    // Whether a permit has been asked for, so that the choice should be made again soon.
+    // Whether a permit may be had in time, so that the choice should be made again soon, until the
+    // time at which the request would be late.
     bool awaitsPermit = false;
+    base::TimePoint latestSendAt{};
   };
 
   void updatePools();
@@ -180,10 +182,16 @@
   void onLimitAnswer(ServerPool& pool,
                      std::optional<dispatch::RequestLimit> limit,
                      base::TimePoint sentAt);
+  static dispatch::PermitSeeker seekerOf(const RequestHandler& request,
+                                         ServerPool& pool,
+                                         base::TimePoint now);
   // Takes a permit for a request, or asks for one.
-  dispatch::PermitDecision tryTakePermit(ServerPool& pool, base::TimePoint now);
+  dispatch::PermitDecision tryTakePermit(const RequestHandler& request,
+                                         ServerPool& pool,
+                                         base::TimePoint now);
   // Returns the choice for a request for which there is no permit.
-  Choice choiceWithoutPermit(const std::shared_ptr<ServerPool>& pool,
+  Choice choiceWithoutPermit(const RequestHandler& request,
+                             const std::shared_ptr<ServerPool>& pool,
                              bool awaitsPermit,
                              base::TimePoint now);
   bool tryTakeColdStartShare(ServerPool& pool, base::TimePoint now);
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -58,7 +58,7 @@
   void onServerLimit(const dispatch::ServerIncarnation& server,
                      std::optional<dispatch::RequestLimit> limit);
   // This VM needs permits for requests to a server with a limit.
-  void requestPermits(const dispatch::LimitedServer& limited, unsigned wanted);
+  void requestPermits(const dispatch::PermitQuestion& question);
 
   // Prepares for the end of the process, so that another VM becomes the coordinator.
   void beginDrain();
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -127,8 +127,7 @@
 // Message from an entry VM to the coordinator that asks for permits to send requests to a server.
 struct PermitRequestMessage
 {
-  dispatch::LimitedServer limited;
-  unsigned wanted = 1;
+  dispatch::PermitQuestion question;
 };
 
 // The coordinator's answer to a PermitRequestMessage.
--- a/libs/entry/include/entry/RequestHandler.h
+++ b/libs/entry/include/entry/RequestHandler.h
@@ -35,6 +35,8 @@
 
 private:
   void send();
+  // Waits for a permit of the server that the choice names. Returns whether there is time for it.
+  bool tryAwaitPermit(const Dispatcher::Choice& choice, base::TimePoint now);
   void onStopping();
   void sendTo(const std::shared_ptr<ServerPool>& pool, base::TimePoint now);
   void onResult(ExchangeResult result);
@@ -75,8 +77,11 @@
   bool answeredByServer_ = false;
   std::shared_ptr<ServerConnection> connection_;
   base::TimePoint sentAt_;
-  // Time until which the answer to a question for a permit is awaited; unset before the first.
-  base::TimePoint permitWaitEndsAt_{};
+  // Time until which the answer to a question for a permit is awaited in any case; unset before the
+  // first.
+  base::TimePoint permitAnswerDueAt_{};
+  // Set while the request waits for a permit.
+  std::optional<dispatch::PermitWait> permitWait_;
   // Number of times that the request was sent to a server, including those that the server refused.
   unsigned sends_ = 0;
   unsigned failedConnections_ = 0;
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -281,30 +281,45 @@
   }
 }
 
-dispatch::PermitDecision Dispatcher::tryTakePermit(ServerPool& pool, base::TimePoint now)
+dispatch::PermitSeeker Dispatcher::seekerOf(const RequestHandler& request,
+                                            ServerPool& pool,
+                                            base::TimePoint now)
+{
+  const base::Duration left = std::min(request.targetLeft(now), request.timeLeft(now));
+  return { request.route().priority, now + left - pool.load().expectedLatency(now) };
+}
+
+dispatch::PermitDecision Dispatcher::tryTakePermit(const RequestHandler& request,
+                                                   ServerPool& pool,
+                                                   base::TimePoint now)
 {
   if (!pool.permits().limit()) {
     return dispatch::PermitDecision::Send;
   }
-  const dispatch::PermitDecision decision = pool.permits().tryTake(view_->entryVms, now);
+  const dispatch::PermitSeeker seeker = seekerOf(request, pool, now);
+  const dispatch::PermitDecision decision = pool.permits().tryTake(seeker, view_->entryVms, now);
   if (decision == dispatch::PermitDecision::Send) {
     ++counts_.permitsUsed;
   } else if (decision == dispatch::PermitDecision::Ask && permitListener_) {
-    permitListener_({ { pool.server().id, pool.server().born }, *pool.permits().limit() },
-                    pool.permits().wanted());
+    permitListener_({ { { pool.server().id, pool.server().born }, *pool.permits().limit() },
+                      pool.permits().wanted(),
+                      seeker.priority });
   }
   return decision;
 }
 
-Dispatcher::Choice Dispatcher::choiceWithoutPermit(const std::shared_ptr<ServerPool>& pool,
+Dispatcher::Choice Dispatcher::choiceWithoutPermit(const RequestHandler& request,
+                                                   const std::shared_ptr<ServerPool>& pool,
                                                    bool awaitsPermit,
                                                    base::TimePoint now)
 {
+  const base::Duration retryIn = pool->permits().retryIn(request.route().priority, now);
   Choice choice = refusal("the server gets as many requests as it takes",
-                          std::max(kLimitRetryDelay, pool->permits().retryIn(now)),
+                          std::max(kLimitRetryDelay, retryIn),
                           counts_.refusedAtLimit,
                           pool);
   choice.awaitsPermit = awaitsPermit;
+  choice.latestSendAt = seekerOf(request, *pool, now).latestSendAt;
   return choice;
 }
 
@@ -351,9 +366,9 @@
     priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
     return { nullptr, "the key's owner has no room", *retryDelay, &counts_.refusedNoRoom, pool };
   }
-  const dispatch::PermitDecision permit = tryTakePermit(*pool, now);
+  const dispatch::PermitDecision permit = tryTakePermit(request, *pool, now);
   if (permit != dispatch::PermitDecision::Send) {
-    return choiceWithoutPermit(pool, permit != dispatch::PermitDecision::Refuse, now);
+    return choiceWithoutPermit(request, pool, permit != dispatch::PermitDecision::Refuse, now);
   }
   if (!tryTakeColdStartShare(*pool, now)) {
     return refusal("the key's owner is in its cold start and at its request rate limit",
@@ -459,11 +474,11 @@
       retryDelay = retryDelay ? std::min(*retryDelay, *refused) : refused;
       continue;
     }
-    const dispatch::PermitDecision permit = tryTakePermit(*candidate.pool, now);
+    const dispatch::PermitDecision permit = tryTakePermit(request, *candidate.pool, now);
     if (permit != dispatch::PermitDecision::Send) {
       const bool awaitsPermit = permit != dispatch::PermitDecision::Refuse;
       if (!withoutPermit || (awaitsPermit && !withoutPermit->awaitsPermit)) {
-        withoutPermit = choiceWithoutPermit(candidate.pool, awaitsPermit, now);
+        withoutPermit = choiceWithoutPermit(request, candidate.pool, awaitsPermit, now);
       }
     } else if (tryTakeColdStartShare(*candidate.pool, now)) {
       return { candidate.pool, "", {}, nullptr };
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -189,9 +189,9 @@
   limitSharing_.onAnswer(server, limit, clockNow());
 }
 
-void EntryControl::requestPermits(const dispatch::LimitedServer& limited, unsigned wanted)
+void EntryControl::requestPermits(const dispatch::PermitQuestion& question)
 {
-  limitSharing_.requestPermits({ limited, wanted }, clockNow());
+  limitSharing_.requestPermits({ question }, clockNow());
 }
 
 void EntryControl::beginDrain()
--- a/libs/entry/src/LimitSharing.cpp
+++ b/libs/entry/src/LimitSharing.cpp
@@ -90,9 +90,10 @@
 // The limit that the coordinator knows goes before the asking VM's, which may be older.
 PermitGrantMessage LimitSharing::grant(const PermitRequestMessage& request, base::TimePoint now)
 {
-  dispatch::LimitedServer limited = request.limited;
+  dispatch::PermitQuestion question = request.question;
+  dispatch::LimitedServer& limited = question.limited;
   limited.limit = limits_.limitOf(limited.server).value_or(limited.limit);
-  return { limited.server, issuer_.request(limited, request.wanted, isSoleIssuer_, now) };
+  return { limited.server, issuer_.request(question, isSoleIssuer_, now) };
 }
 
 } // namespace sycamore::entry
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -319,12 +319,18 @@
 
 Json toJson(const PermitRequestMessage& message)
 {
-  return Json::array({ kPermitRequest, writeLimitedServers({ message.limited }), message.wanted });
+  const dispatch::PermitQuestion& question = message.question;
+  return Json::array({ kPermitRequest,
+                       writeLimitedServers({ question.limited }),
+                       question.wanted,
+                       question.priority });
 }
 
 PermitRequestMessage readPermitRequest(const Json& json)
 {
-  return { readLimitedServer(json.at(1).at(0)), json.at(2).get<unsigned>() };
+  return {
+    { readLimitedServer(json.at(1).at(0)), json.at(2).get<unsigned>(), json.at(3).get<unsigned>() }
+  };
 }
 
 Json toJson(const PermitGrantMessage& message)
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -17,10 +17,13 @@
 constexpr base::Duration kGrantRetryDelay = base::milliseconds(40);
 // Delay before a request is sent to the same server again.
 constexpr base::Duration kResendDelay = base::milliseconds(5);
-// Time for which a request waits for a permit to send it, and the delay between two looks. A permit
-// arrives within a few milliseconds.
+// Time for which a request waits for the answer to a question for permits in any case, and the
+// delay between two looks. Answers arrive within a few milliseconds.
 constexpr base::Duration kPermitTimeout = base::milliseconds(60);
 constexpr base::Duration kPermitPollDelay = base::milliseconds(4);
+// Longest delay between two looks while the next question is due later, since a permit may also
+// come by another request's question.
+constexpr base::Duration kMaxPermitPollDelay = base::milliseconds(20);
 // Retry delays for callers: while servers have no room or can't be reached, and while this VM has
 // no configuration.
 constexpr base::Duration kServerFullRetryDelay = base::milliseconds(80);
@@ -111,6 +114,7 @@
   }
   ++dispatcher_.counts_.callerLeft;
   deliver_ = nullptr;
+  permitWait_.reset();
   deadlineTimer_.cancel();
   resendTimer_.cancel();
   if (connection_) {
@@ -136,13 +140,9 @@
   const bool isKeyed = dispatcher_.isKeyed(service_);
   const Dispatcher::Choice choice = isKeyed && metadata_.key ? dispatcher_.chooseOwner(*this, now)
                                                              : dispatcher_.chooseAny(*this, now);
-  if (choice.awaitsPermit) {
-    const bool isFirst = permitWaitEndsAt_ == base::TimePoint{};
-    permitWaitEndsAt_ = isFirst ? now + kPermitTimeout : permitWaitEndsAt_;
-    if (now < std::min(permitWaitEndsAt_, answerDeadline_)) {
-      sendAfter(kPermitPollDelay);
-      return;
-    }
+  permitWait_.reset();
+  if (choice.awaitsPermit && tryAwaitPermit(choice, now)) {
+    return;
   }
   if (!choice.pool) {
     decidingServer_ = choice.decidingServer;
@@ -163,6 +163,21 @@
   sendTo(choice.pool, now);
 }
 
+bool RequestHandler::tryAwaitPermit(const Dispatcher::Choice& choice, base::TimePoint now)
+{
+  const bool isFirst = permitAnswerDueAt_ == base::TimePoint{};
+  permitAnswerDueAt_ = isFirst ? now + kPermitTimeout : permitAnswerDueAt_;
+  if (now >= std::min(std::max(permitAnswerDueAt_, choice.latestSendAt), answerDeadline_)) {
+    return false;
+  }
+  const auto& pool = choice.decidingServer;
+  permitWait_.emplace(std::shared_ptr<dispatch::RequestPermits>(pool, &pool->permits()),
+                      route_->priority);
+  const base::Duration retryIn = pool->permits().retryIn(route_->priority, now);
+  sendAfter(std::clamp(retryIn, kPermitPollDelay, kMaxPermitPollDelay));
+  return true;
+}
+
 // The process would end before the server's answer is certain to arrive, or likely enough.
 void RequestHandler::onStopping()
 {
@@ -466,6 +481,7 @@
   }
   logOutcome(answer.status, reason);
   recordOutcome(answer.status);
+  permitWait_.reset();
   deadlineTimer_.cancel();
   resendTimer_.cancel();
   const Dispatcher::Deliver deliver = std::move(deliver_);
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -48,7 +48,7 @@
     ServerUseMessage{ { { base::ServerId("x"), { 2, { 1, std::chrono::milliseconds(9) } } } } },
     LoadSummaryMessage{ { { { base::ServerId("x"), { 4, std::chrono::milliseconds(7) } } }, 3 } },
     ServerLimitMessage{ { base::ServerId("x"), 4 }, dispatch::RequestLimit{ 2.5 } },
-    PermitRequestMessage{ { { base::ServerId("x"), 4 }, { 2.5 } }, 2 },
+    PermitRequestMessage{ { { { base::ServerId("x"), 4 }, { 2.5 } }, 2, 1 } },
     PermitGrantMessage{ { base::ServerId("x"), 4 }, { 1, std::chrono::milliseconds(80) } }
   };
 }
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -89,9 +89,8 @@
     [this](const dispatch::ServerIncarnation& server, std::optional<dispatch::RequestLimit> limit) {
       asio::post(control_, [this, server, limit] { entryControl_.onServerLimit(server, limit); });
     },
-    [this](const dispatch::LimitedServer& limited, unsigned wanted) {
-      asio::post(control_,
-                 [this, limited, wanted] { entryControl_.requestPermits(limited, wanted); });
+    [this](const dispatch::PermitQuestion& question) {
+      asio::post(control_, [this, question] { entryControl_.requestPermits(question); });
     });
 }
 
