Name all limited servers in the heartbeats, page by page

A heartbeat names 24 limited servers at most. With 25 or more, the last ones by id dropped out of the other VMs' lists, and a VM that hadn't seen such a server's limit in its own answers for 1.5 s forgot it: until the next answer it sent requests without permits.

The coordinator now sends its list in pages in turn. A page says after which id it begins and whether it is the last, so that a VM replaces exactly that part of its list. A list of up to 24 servers is one page and takes no further byte. With n servers, all VMs know a change after n / 24 heartbeats, rounded up.

EntryControl only takes the page in place of the list.

--- a/libs/dispatch/src/ServerLimits.cpp
+++ b/libs/dispatch/src/ServerLimits.cpp
@@ -1,5 +1,7 @@
 #include <dispatch/ServerLimits.h>
 
+#include <algorithm>
+
 namespace sycamore::dispatch {
 
 namespace {
@@ -29,18 +31,38 @@
   return true;
 }
 
-bool ServerLimits::replace(const std::vector<LimitedServer>& servers, base::TimePoint now)
+bool ServerLimits::apply(const LimitedServersPage& page, base::TimePoint now)
 {
-  if (servers == list()) {
+  base::ServerId lastId = page.after;
+  if (!page.servers.empty()) {
+    lastId = std::max(lastId, page.servers.back().server.id);
+  }
+  const auto first = entries_.upper_bound(page.after);
+  const auto end = page.isLast ? entries_.end() : entries_.upper_bound(lastId);
+  const std::vector<LimitedServer> previous = toList(first, end);
+  if (previous == page.servers) {
     return false;
   }
-  entries_.clear();
-  for (const LimitedServer& limited : servers) {
+  entries_.erase(first, end);
+  for (const LimitedServer& limited : page.servers) {
     entries_[limited.server.id] = { limited.server.born, limited.limit, now, 0 };
   }
   return true;
 }
 
+LimitedServersPage ServerLimits::nextPage(std::size_t maxServers)
+{
+  LimitedServersPage page;
+  page.after = nextPageAfter_;
+  auto entry = entries_.upper_bound(page.after);
+  for (; entry != entries_.end() && page.servers.size() < maxServers; ++entry) {
+    page.servers.push_back({ { entry->first, entry->second.born }, entry->second.limit });
+  }
+  page.isLast = entry == entries_.end();
+  nextPageAfter_ = page.isLast ? base::ServerId() : page.servers.back().server.id;
+  return page;
+}
+
 bool ServerLimits::expire(base::TimePoint now)
 {
   return std::erase_if(entries_, [now](const auto& entry) {
@@ -66,10 +88,16 @@
 }
 
 std::vector<LimitedServer> ServerLimits::list() const
+{
+  return toList(entries_.begin(), entries_.end());
+}
+
+std::vector<LimitedServer> ServerLimits::toList(Entries::const_iterator first,
+                                                Entries::const_iterator end)
 {
   std::vector<LimitedServer> servers;
-  for (const auto& [id, entry] : entries_) {
-    servers.push_back({ { id, entry.born }, entry.limit });
+  for (; first != end; ++first) {
+    servers.push_back({ { first->first, first->second.born }, first->second.limit });
   }
   return servers;
 }
--- a/libs/entry/include/entry/LimitSharing.h
+++ b/libs/entry/include/entry/LimitSharing.h
@@ -38,8 +38,10 @@
   void onMessage(const ServerLimitMessage& message, base::TimePoint now);
   void onMessage(const PermitRequestMessage& message, const PeerAddress& from, base::TimePoint now);
   void onMessage(const PermitGrantMessage& message);
-  // The coordinator's list of servers with a limit arrived.
-  void onList(const std::vector<dispatch::LimitedServer>& servers, base::TimePoint now);
+  // A page of the coordinator's list of servers with a limit arrived.
+  void onPage(const dispatch::LimitedServersPage& page, base::TimePoint now);
+  // Returns the page for the next heartbeat of this coordinator.
+  dispatch::LimitedServersPage nextPage() { return limits_.nextPage(kMaxLimitedServers); }
 
   // Forgets the limits of servers that have ended.
   void retain(const std::map<base::ServerId, dispatch::BackendServer>& registered);
--- a/libs/entry/include/entry/PeerMessage.h
+++ b/libs/entry/include/entry/PeerMessage.h
@@ -8,6 +8,7 @@
 #include <dispatch/LoadAggregator.h>
 #include <dispatch/OwnershipCopy.h>
 #include <dispatch/PermitIssuer.h>
+#include <dispatch/ServerLimits.h>
 #include <dispatch/WorkMean.h>
 
 #include <cstdint>
@@ -45,8 +46,8 @@
   // Registered servers that have said in an answer that they leave. Each message repeats them,
   // since any may be lost; at most some dozens are sent.
   std::vector<dispatch::ServerIncarnation> leavingServers;
-  // Servers that name a limit in their answers.
-  std::vector<dispatch::LimitedServer> limitedServers;
+  // Servers that name a limit in their answers; all of them are named in turn.
+  dispatch::LimitedServersPage limitedServers;
   // IP address of the VM that aggregates the load for the receiver's failure domain; empty if none
   // is known.
   std::string loadAggregator;
@@ -137,6 +138,9 @@
   dispatch::PermitGrant grant;
 };
 
+// Number of limited servers that fit into a heartbeat, which is one datagram.
+inline constexpr std::size_t kMaxLimitedServers = 24;
+
 using PeerMessage = std::variant<HeartbeatMessage,
                                  ReportMessage,
                                  CoordinatorStoppedMessage,
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -523,7 +523,7 @@
     remoteBreakListener_(connectionBreak);
   }
   onServersLeaving(message.leavingServers);
-  limitSharing_.onList(message.limitedServers, clockNow());
+  limitSharing_.onPage(message.limitedServers, clockNow());
   setEntryVms(message.entryVms);
   loadSharing_.setAggregator(message.loadAggregator);
   if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
@@ -657,7 +657,7 @@
   message.connectionBreaks = std::move(pendingConnectionBreaks_);
   pendingConnectionBreaks_.clear();
   message.leavingServers = leavingServers_.registered();
-  message.limitedServers = limitSharing_.list();
+  message.limitedServers = limitSharing_.nextPage();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
   for (const ObjectMirror* mirror : mirrors_) {
     message.isRelay = message.isRelay && mirror->isWatching();
--- a/libs/entry/src/LimitSharing.cpp
+++ b/libs/entry/src/LimitSharing.cpp
@@ -72,9 +72,9 @@
   grantListener_(message.server, message.grant);
 }
 
-void LimitSharing::onList(const std::vector<dispatch::LimitedServer>& servers, base::TimePoint now)
+void LimitSharing::onPage(const dispatch::LimitedServersPage& page, base::TimePoint now)
 {
-  hasChanged_ = limits_.replace(servers, now) || hasChanged_;
+  hasChanged_ = limits_.apply(page, now) || hasChanged_;
 }
 
 void LimitSharing::retain(const std::map<base::ServerId, dispatch::BackendServer>& registered)
--- a/libs/entry/src/PeerMessage.cpp
+++ b/libs/entry/src/PeerMessage.cpp
@@ -28,7 +28,6 @@
 constexpr int kPermitGrant = 11;
 // Maximum number of leaving servers in a message.
 constexpr std::size_t kMaxLeavingServers = 24;
-constexpr std::size_t kMaxLimitedServers = 24;
 
 // Durations are sent in whole milliseconds, which take few bytes.
 std::int64_t toMilliseconds(base::Duration duration)
@@ -81,14 +80,10 @@
   return incarnations;
 }
 
-// Writes at most as many servers as fit into a datagram beside the rest of its message.
 Json writeLimitedServers(const std::vector<dispatch::LimitedServer>& servers)
 {
   Json rows = Json::array();
   for (const dispatch::LimitedServer& limited : servers) {
-    if (rows.size() == kMaxLimitedServers) {
-      break;
-    }
     rows.push_back({ limited.server.id.value(), limited.server.born, limited.limit.perSecond });
   }
   return rows;
@@ -112,22 +107,29 @@
 Json toJson(const HeartbeatMessage& message)
 {
   const dispatch::CoordinatorHeartbeat& heartbeat = message.heartbeat;
-  return Json::array({ kHeartbeat,
-                       heartbeat.coordinator.vm.value(),
-                       heartbeat.coordinator.run,
-                       heartbeat.coordinator.address,
-                       heartbeat.epoch,
-                       heartbeat.storeReachable,
-                       heartbeat.leaving,
-                       message.rank,
-                       message.entryVms,
-                       writeConnectionBreaks(message.connectionBreaks),
-                       message.revision,
-                       message.isRelay,
-                       message.lastChangeRevisions,
-                       message.loadAggregator,
-                       writeIncarnations(message.leavingServers),
-                       writeLimitedServers(message.limitedServers) });
+  const dispatch::LimitedServersPage& limited = message.limitedServers;
+  Json json = Json::array({ kHeartbeat,
+                            heartbeat.coordinator.vm.value(),
+                            heartbeat.coordinator.run,
+                            heartbeat.coordinator.address,
+                            heartbeat.epoch,
+                            heartbeat.storeReachable,
+                            heartbeat.leaving,
+                            message.rank,
+                            message.entryVms,
+                            writeConnectionBreaks(message.connectionBreaks),
+                            message.revision,
+                            message.isRelay,
+                            message.lastChangeRevisions,
+                            message.loadAggregator,
+                            writeIncarnations(message.leavingServers),
+                            writeLimitedServers(limited.servers) });
+  const bool isWholeList = limited.after.value().empty() && limited.isLast;
+  if (!isWholeList) {
+    json.push_back(limited.after.value());
+    json.push_back(limited.isLast);
+  }
+  return json;
 }
 
 Json toJson(const ReportMessage& message)
@@ -404,7 +406,11 @@
   message.lastChangeRevisions = json.at(12).get<std::vector<std::uint64_t>>();
   message.loadAggregator = json.at(13).get<std::string>();
   message.leavingServers = readIncarnations(json.at(14));
-  message.limitedServers = readLimitedServers(json.at(15));
+  message.limitedServers.servers = readLimitedServers(json.at(15));
+  if (json.size() > 16) {
+    message.limitedServers.after = base::ServerId(json.at(16).get<std::string>());
+    message.limitedServers.isLast = json.at(17).get<bool>();
+  }
   return message;
 }
 
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -24,7 +24,10 @@
   heartbeat.connectionBreaks = { { 99, "s@1" } };
   heartbeat.lastChangeRevisions = { 1, 2, 3 };
   heartbeat.leavingServers = { { base::ServerId("x"), 4 } };
-  heartbeat.limitedServers = { { { base::ServerId("y"), 4 }, { 2.5 } } };
+  heartbeat.limitedServers = { {}, { { { base::ServerId("y"), 4 }, { 2.5 } } }, true };
+  HeartbeatMessage heartbeatWithPage = heartbeat;
+  heartbeatWithPage.limitedServers.after = base::ServerId("x");
+  heartbeatWithPage.limitedServers.isLast = false;
   ReportMessage report;
   report.vm = base::VmId("vm");
   report.domain = base::DomainId("a");
@@ -40,6 +43,7 @@
   change.change.patches = { { "z", 4, 5, false, R"({"a":1})" } };
   return {
     heartbeat,
+    heartbeatWithPage,
     report,
     CoordinatorStoppedMessage{ 3, std::chrono::milliseconds(5), std::chrono::milliseconds(7) },
     delta,
