Keep the limits that the last heartbeat named when a VM takes over

A VM noted when a heartbeat changed its list of limited servers, not when one named them again. If a server's limit had stood unchanged for 20 s, the next coordinator forgot it on taking over, and told so to all VMs. Those that hadn't seen the limit in an own answer for 1.5 s then sent requests without permits until the next answer.

Each page now counts as naming its servers. The coordinator's own 20 s without an answer that names the limit end it as before.

--- a/libs/dispatch/src/ServerLimits.cpp
+++ b/libs/dispatch/src/ServerLimits.cpp
@@ -39,15 +39,12 @@
   }
   const auto first = entries_.upper_bound(page.after);
   const auto end = page.isLast ? entries_.end() : entries_.upper_bound(lastId);
-  const std::vector<LimitedServer> previous = toList(first, end);
-  if (previous == page.servers) {
-    return false;
-  }
+  const bool hasChanged = toList(first, end) != page.servers;
   entries_.erase(first, end);
   for (const LimitedServer& limited : page.servers) {
     entries_[limited.server.id] = { limited.server.born, limited.limit, now, 0 };
   }
-  return true;
+  return hasChanged;
 }
 
 LimitedServersPage ServerLimits::nextPage(std::size_t maxServers)
--- a/libs/dispatch/tests/ServerLimitsTest.cpp
+++ b/libs/dispatch/tests/ServerLimitsTest.cpp
@@ -62,3 +62,20 @@
     CHECK(page.isLast);
   }
 }
+
+// Guards against limits that a new coordinator forgets because its list hadn't changed for long.
+TEST_CASE("a VM that takes over keeps the limits that the last heartbeat named")
+{
+  ServerLimits coordinator;
+  ServerLimits vm;
+  coordinator.onAnswer(server(1), kLimit, kNow);
+  base::TimePoint now = kNow;
+  for (; now < kNow + seconds(60); now += seconds(1)) {
+    coordinator.onAnswer(server(1), kLimit, now);
+    vm.apply(coordinator.nextPage(kPageSize), now);
+  }
+  CHECK_FALSE(vm.expire(now));
+  CHECK(vm.limitOf(server(1)));
+  // Without further heartbeats and answers, the limit ends.
+  CHECK(vm.expire(now + seconds(30)));
+}
