Give what servers say in their answers a place of its own

ServerNotices takes what an answer says of its server (leaving, pause, limit), notes it in the server's pool, tells the control thread, and asks for permits; RequestHandler hands it each answer in one call. The line that is logged for a finished request (RequestLog), the check of an answer (AnswerCheck) and the digest of a request (RequestDigest) leave RequestHandler, the counters (DispatchCounts) Dispatcher.h. The behaviour is unchanged.

RequestPermits, RequestPause and LeavingServers stay three types. One that decides "may this request go to this server now" would need three separate questions still: LeavingServers is the control thread's memory of all servers, a pause has to be known before servers are compared, and a permit, which the decision uses up, may only be taken after admission.

--- /dev/null
+++ b/libs/entry/include/entry/DispatchCounts.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+
+namespace sycamore::entry {
+
+// Counters of requests, of their results by kind, and of retries.
+struct DispatchCounts
+{
+  std::uint64_t received = 0;
+  std::uint64_t passedOn = 0;
+  std::uint64_t refusedNoRoute = 0;
+  std::uint64_t refusedNoOwner = 0;
+  std::uint64_t refusedNoRoom = 0;
+  std::uint64_t refusedByServer = 0;
+  std::uint64_t refusedUnreachable = 0;
+  std::uint64_t refusedNoMemory = 0;
+  std::uint64_t refusedStopping = 0;
+  std::uint64_t failedUnknown = 0;
+  std::uint64_t failedTimeout = 0;
+  std::uint64_t callerLeft = 0;
+  std::uint64_t retries = 0;
+  // Servers that have said in an answer that they leave.
+  std::uint64_t serversLeaving = 0;
+  // Answers by which servers asked for a pause, and requests that were refused because of one.
+  std::uint64_t serverPauses = 0;
+  std::uint64_t refusedPaused = 0;
+  // Requests that used a permit of a server with a limit, and those that were refused for lack of
+  // one.
+  std::uint64_t permitsUsed = 0;
+  std::uint64_t refusedAtLimit = 0;
+};
+
+} // namespace sycamore::entry
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <entry/ByteCounts.h>
+#include <entry/DispatchCounts.h>
 #include <entry/EventLog.h>
 #include <entry/HttpText.h>
+#include <entry/ServerNotices.h>
 #include <entry/ServerPool.h>
 #include <entry/TrafficMetrics.h>
 
@@ -39,33 +41,6 @@
   std::map<base::ServerId, dispatch::ServerUse> use;
 };
 
-// Counters of requests, of their results by kind, and of retries.
-struct DispatchCounts
-{
-  std::uint64_t received = 0;
-  std::uint64_t passedOn = 0;
-  std::uint64_t refusedNoRoute = 0;
-  std::uint64_t refusedNoOwner = 0;
-  std::uint64_t refusedNoRoom = 0;
-  std::uint64_t refusedByServer = 0;
-  std::uint64_t refusedUnreachable = 0;
-  std::uint64_t refusedNoMemory = 0;
-  std::uint64_t refusedStopping = 0;
-  std::uint64_t failedUnknown = 0;
-  std::uint64_t failedTimeout = 0;
-  std::uint64_t callerLeft = 0;
-  std::uint64_t retries = 0;
-  // Servers that have said in an answer that they leave.
-  std::uint64_t serversLeaving = 0;
-  // Answers by which servers asked for a pause, and requests that were refused because of one.
-  std::uint64_t serverPauses = 0;
-  std::uint64_t refusedPaused = 0;
-  // Requests that used a permit of a server with a limit, and those that were refused for lack of
-  // one.
-  std::uint64_t permitsUsed = 0;
-  std::uint64_t refusedAtLimit = 0;
-};
-
 class RequestHandler;
 
 // Routes requests to backend servers. Traffic thread only.
@@ -78,15 +53,6 @@
   using ConnectionBreakListener =
     std::function<void(std::uint64_t digest, const std::string& serverIncarnation)>;
 
-  // Notified of each server that has said in an answer that it leaves.
-  using LeavingListener = std::function<void(const dispatch::ServerIncarnation&)>;
-
-  // Notified of each answer that named a limit, or named none though the server had one.
-  using LimitListener =
-    std::function<void(const dispatch::ServerIncarnation&, std::optional<dispatch::RequestLimit>)>;
-  // Notified when permits are needed; onPermitGrant() brings the answer.
-  using PermitListener = std::function<void(const dispatch::PermitQuestion&)>;
-
   Dispatcher(asio::io_context& context,
              const dispatch::EntrySettings& settings,
              EventLog& log,
@@ -97,11 +63,14 @@
   {
     connectionBreakListener_ = std::move(listener);
   }
-  void setLeavingListener(LeavingListener listener) { leavingListener_ = std::move(listener); }
-  void setLimitListeners(LimitListener limitListener, PermitListener permitListener)
+  void setLeavingListener(ServerNotices::LeavingListener listener)
+  {
+    notices_.setLeavingListener(std::move(listener));
+  }
+  void setLimitListeners(ServerNotices::LimitListener limitListener,
+                         ServerNotices::PermitListener permitListener)
   {
-    limitListener_ = std::move(limitListener);
-    permitListener_ = std::move(permitListener);
+    notices_.setLimitListeners(std::move(limitListener), std::move(permitListener));
   }
   void onPermitGrant(const dispatch::ServerIncarnation& server, const dispatch::PermitGrant& grant);
   void onRemoteConnectionBreak(std::uint64_t digest, const std::string& serverIncarnation);
@@ -174,18 +143,9 @@
   // Returns whether the process may still wait for a server's answer to a request.
   bool canAwaitAnswer(const RequestHandler& request, ServerPool& pool, base::TimePoint now) const;
   bool acceptsRequests(const ServerPool& pool) const;
-  // The pool's server has said in an answer that it leaves, or that it wants no requests for a
-  // time.
-  void onServerLeaving(ServerPool& pool);
-  void onServerPaused(ServerPool& pool, base::Duration pause);
-  // An executed answer to a request sent at `sentAt` named this limit, or none.
-  void onLimitAnswer(ServerPool& pool,
-                     std::optional<dispatch::RequestLimit> limit,
-                     base::TimePoint sentAt);
   static dispatch::PermitSeeker seekerOf(const RequestHandler& request,
                                          ServerPool& pool,
                                          base::TimePoint now);
-  // Takes a permit for a request, or asks for one.
   dispatch::PermitDecision tryTakePermit(const RequestHandler& request,
                                          ServerPool& pool,
                                          base::TimePoint now);
@@ -214,13 +174,11 @@
   std::map<base::ServiceId, dispatch::PriorityThrottle> priorityThrottles_;
   dispatch::CrashSuspects suspects_;
   ConnectionBreakListener connectionBreakListener_;
-  LeavingListener leavingListener_;
-  LimitListener limitListener_;
-  PermitListener permitListener_;
   // Set once the process has been told to stop.
   std::optional<dispatch::ShutdownPlan> shutdown_;
   TrafficReport report_;
   DispatchCounts counts_;
+  ServerNotices notices_;
   TrafficMetrics metrics_;
   ByteCounts bytes_;
   BufferQuota requestMemory_;
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -42,6 +42,7 @@
   , settings_(settings)
   , log_(log)
   , view_(std::make_shared<dispatch::RoutingView>())
+  , notices_(log, counts_)
   , requestMemory_(settings.memoryBytes / kRequestMemoryShare)
   , answerMemory_(settings.memoryBytes / kAnswerMemoryShare)
   , random_(seed)
@@ -234,53 +235,6 @@
   return !pool.isLeaving() && !server.draining && !view_->domainsOut.contains(server.domain);
 }
 
-// The pool is marked at once; the control thread tells the other VMs and moves the server's keys.
-void Dispatcher::onServerLeaving(ServerPool& pool)
-{
-  if (pool.isLeaving()) {
-    return;
-  }
-  pool.setLeaving();
-  ++counts_.serversLeaving;
-  log_.write("server_leaving",
-             { { "id", pool.server().id.value() },
-               { "born", pool.server().born },
-               { "entry_draining", pool.server().draining } });
-  if (leavingListener_) {
-    leavingListener_({ pool.server().id, pool.server().born });
-  }
-}
-
-void Dispatcher::onServerPaused(ServerPool& pool, base::Duration pause)
-{
-  const base::TimePoint now = clockNow();
-  ++counts_.serverPauses;
-  if (!pool.pause().isActive(now)) {
-    log_.write(
-      "server_paused",
-      { { "id", pool.server().id.value() },
-        { "pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count() } });
-  }
-  pool.pause().onTurnedAway(pause, now);
-}
-
-void Dispatcher::onLimitAnswer(ServerPool& pool,
-                               std::optional<dispatch::RequestLimit> limit,
-                               base::TimePoint sentAt)
-{
-  const bool wasLimited = pool.permits().limit().has_value();
-  const bool mustReport = pool.permits().onAnswer(limit, sentAt, clockNow());
-  if (limit && !wasLimited) {
-    log_.write("server_named_limit",
-               { { "id", pool.server().id.value() },
-                 { "born", pool.server().born },
-                 { "per_second", limit->perSecond } });
-  }
-  if (mustReport && limitListener_) {
-    limitListener_({ pool.server().id, pool.server().born }, limit);
-  }
-}
-
 dispatch::PermitSeeker Dispatcher::seekerOf(const RequestHandler& request,
                                             ServerPool& pool,
                                             base::TimePoint now)
@@ -293,19 +247,7 @@
                                                    ServerPool& pool,
                                                    base::TimePoint now)
 {
-  if (!pool.permits().limit()) {
-    return dispatch::PermitDecision::Send;
-  }
-  const dispatch::PermitSeeker seeker = seekerOf(request, pool, now);
-  const dispatch::PermitDecision decision = pool.permits().tryTake(seeker, view_->entryVms, now);
-  if (decision == dispatch::PermitDecision::Send) {
-    ++counts_.permitsUsed;
-  } else if (decision == dispatch::PermitDecision::Ask && permitListener_) {
-    permitListener_({ { { pool.server().id, pool.server().born }, *pool.permits().limit() },
-                      pool.permits().wanted(),
-                      seeker.priority });
-  }
-  return decision;
+  return notices_.tryTakePermit(pool, seekerOf(request, pool, now), view_->entryVms, now);
 }
 
 Dispatcher::Choice Dispatcher::choiceWithoutPermit(const RequestHandler& request,
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -1,8 +1,10 @@
 #include <entry/RequestHandler.h>
 
+#include <entry/AnswerCheck.h>
+#include <entry/RequestDigest.h>
+#include <entry/RequestLog.h>
 #include <entry/SteadyTime.h>
 
-#include <base/KeyHash.h>
 #include <dispatch/KeyCoordinator.h>
 
 #include <algorithm>
@@ -35,23 +37,6 @@
 // Timeout for callers that don't send one.
 constexpr base::Duration kDefaultTimeout = std::chrono::seconds(30);
 
-// One of this many served requests is logged.
-constexpr std::uint64_t kServedLogInterval = 256;
-
-std::uint64_t digestOf(const Request& request)
-{
-  std::string requestText(toStringView(request.method_string()));
-  requestText.append(" ").append(toStringView(request[http::field::host]));
-  requestText.append(toStringView(request.target())).append("\n").append(request.body());
-  return base::hashBytes(requestText);
-}
-
-// Returns whether the status promises the caller that the request hasn't run.
-bool promisesNotRun(unsigned status)
-{
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(Dispatcher& dispatcher,
@@ -230,15 +215,7 @@
   // another request's.
   if (answered && answerMetadata.requestId == metadata_.requestId &&
       !wire::isMisdirected(result.answer.result_int())) {
-    if (answerMetadata.isLeaving) {
-      dispatcher_.onServerLeaving(*pool_);
-    }
-    if (answerMetadata.limit || !answerMetadata.notRun) {
-      dispatcher_.onLimitAnswer(*pool_, answerMetadata.limit, sentAt_);
-    }
-    if (answerMetadata.pause) {
-      dispatcher_.onServerPaused(*pool_, *answerMetadata.pause);
-    }
+    dispatcher_.notices_.onAnswer(*pool_, answerMetadata, sentAt_);
   }
   const std::string incarnation = dispatch::incarnationOf(pool_->server().id, pool_->server().born);
   if (answered && !answerMetadata.notRun) {
@@ -295,24 +272,19 @@
   ServerAnswer& answer = result.answer;
   mayHaveRun_ = true;
   dispatcher_.suspects_.onRequestAnswered(digest_);
-  const auto answerMetadata = wire::readAnswerMetadata(answer.result_int(), answer);
-  const unsigned status = answer.result_int();
-  const bool success = status >= 200 && status < 300;
-  const bool encoded = answer.find(http::field::content_encoding) != answer.end();
-  if ((success && (!answerMetadata.hasSignature ||
-                   answerMetadata.requestId != metadata_.requestId || encoded)) ||
-      (!answerMetadata.hasSignature && promisesNotRun(status))) {
-    onOutcomeUnknown("the server's answer is unsigned, content-encoded or lacks the request's id");
-    return;
-  }
-  if (promisesNotRun(status)) {
-    // Passing on this status would promise that the request hasn't run, but the server didn't say
-    // so.
-    ++dispatcher_.counts_.failedUnknown;
-    fail(
-      502,
-      "the server's status says that the request has not run, but the server did not confirm it");
-    return;
+  switch (checkAnswer(answer, metadata_.requestId)) {
+    case AnswerVerdict::Unverified:
+      onOutcomeUnknown(
+        "the server's answer is unsigned, content-encoded or lacks the request's id");
+      return;
+    case AnswerVerdict::UnconfirmedRefusal:
+      ++dispatcher_.counts_.failedUnknown;
+      fail(502,
+           "the server's status says that the request has not run, but the server did not confirm "
+           "it");
+      return;
+    case AnswerVerdict::Usable:
+      break;
   }
   ++dispatcher_.counts_.passedOn;
   answeredByServer_ = true;
@@ -501,41 +473,27 @@
   dispatcher_.metrics_.record(service_, route_->name, outcome, clockNow() - beganAt_);
 }
 
-// Logs each request that wasn't served, within the log's limit, and a sample of the others.
 void RequestHandler::logOutcome(unsigned status, std::string_view reason) const
 {
-  const bool served = status < 500 && status != 404;
-  if (served && digest_ % kServedLogInterval != 0) {
-    return;
-  }
   const base::TimePoint now = clockNow();
-  const auto milliseconds = [](base::Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  };
-  nlohmann::json fields{ { "id", metadata_.requestId },
-                         { "status", status },
-                         { "reason", reason },
-                         { "elapsed_ms", milliseconds(now - beganAt_) },
-                         { "sends", sends_ } };
+  FinishedRequest finished;
+  finished.metadata = &metadata_;
+  finished.digest = digest_;
+  finished.status = status;
+  finished.reason = reason;
+  finished.elapsed = now - beganAt_;
+  finished.sends = sends_;
+  finished.mayHaveRun = mayHaveRun_;
+  finished.server = decidingServer_ ? decidingServer_ : pool_;
   if (route_ != nullptr) {
-    fields["route"] = route_->name;
-    fields["service"] = service_.value();
-    fields["time_left_ms"] = milliseconds(timeLeft(now));
-    fields["configuration"] = configuration_->version;
-  }
-  if (metadata_.key) {
-    fields["key"] = *metadata_.key;
-    fields["ownership_epoch"] =
-      dispatcher_.view_->ownership ? dispatcher_.view_->ownership->epoch : 0;
-  }
-  if (const auto& pool = decidingServer_ ? decidingServer_ : pool_) {
-    fields["server"] = pool->server().id.value();
-    fields["expected_ms"] = milliseconds(pool->load().expectedLatency(now));
-    fields["occupancy"] = pool->load().occupancy(now);
-    fields["may_have_run"] = mayHaveRun_;
-  }
-  dispatcher_.log_.write(
-    served ? "request_served" : (status == 503 ? "request_refused" : "request_failed"), fields);
+    finished.route = route_;
+    finished.service = service_;
+    finished.timeLeft = timeLeft(now);
+    finished.configurationVersion = configuration_->version;
+  }
+  const auto& ownership = dispatcher_.view_->ownership;
+  finished.ownershipEpoch = ownership ? ownership->epoch : 0;
+  logFinishedRequest(dispatcher_.log_, finished, now);
 }
 
 } // namespace sycamore::entry
