--- a/libs/entry/src/LimitSharing.cpp
+++ b/libs/entry/src/LimitSharing.cpp
@@ -72,9 +72,9 @@
   grantListener_(message.server, message.grant);
 }
 
-void LimitSharing::onList(const std::vector<dispatch::LimitedServer>& servers, base::TimePoint now)
+void LimitSharing::onPage(const dispatch::LimitedServersPage& page, base::TimePoint now)
 {
-  hasChanged_ = limits_.replace(servers, now) || hasChanged_;
+  hasChanged_ = limits_.apply(page, now) || hasChanged_;
 }
 
 void LimitSharing::retain(const std::map<base::ServerId, dispatch::BackendServer>& registered)
@@ -90,9 +90,10 @@
 // The limit that the coordinator knows goes before the asking VM's, which may be older.
 PermitGrantMessage LimitSharing::grant(const PermitRequestMessage& request, base::TimePoint now)
 {
-  dispatch::LimitedServer limited = request.limited;
+  dispatch::PermitQuestion question = request.question;
+  dispatch::LimitedServer& limited = question.limited;
   limited.limit = limits_.limitOf(limited.server).value_or(limited.limit);
-  return { limited.server, issuer_.request(limited, request.wanted, isSoleIssuer_, now) };
+  return { limited.server, issuer_.request(question, isSoleIssuer_, now) };
 }
 
 } // namespace sycamore::entry
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -24,7 +24,10 @@
   heartbeat.connectionBreaks = { { 99, "s@1" } };
   heartbeat.lastChangeRevisions = { 1, 2, 3 };
   heartbeat.leavingServers = { { base::ServerId("x"), 4 } };
-  heartbeat.limitedServers = { { { base::ServerId("y"), 4 }, { 2.5 } } };
+  heartbeat.limitedServers = { {}, { { { base::ServerId("y"), 4 }, { 2.5 } } }, true };
+  HeartbeatMessage heartbeatWithPage = heartbeat;
+  heartbeatWithPage.limitedServers.after = base::ServerId("x");
+  heartbeatWithPage.limitedServers.isLast = false;
   ReportMessage report;
   report.vm = base::VmId("vm");
   report.domain = base::DomainId("a");
@@ -40,6 +43,7 @@
   change.change.patches = { { "z", 4, 5, false, R"({"a":1})" } };
   return {
     heartbeat,
+    heartbeatWithPage,
     report,
     CoordinatorStoppedMessage{ 3, std::chrono::milliseconds(5), std::chrono::milliseconds(7) },
     delta,
@@ -48,7 +52,7 @@
     ServerUseMessage{ { { base::ServerId("x"), { 2, { 1, std::chrono::milliseconds(9) } } } } },
     LoadSummaryMessage{ { { { base::ServerId("x"), { 4, std::chrono::milliseconds(7) } } }, 3 } },
     ServerLimitMessage{ { base::ServerId("x"), 4 }, dispatch::RequestLimit{ 2.5 } },
-    PermitRequestMessage{ { { base::ServerId("x"), 4 }, { 2.5 } }, 2 },
+    PermitRequestMessage{ { { { base::ServerId("x"), 4 }, { 2.5 } }, 2, 1 } },
     PermitGrantMessage{ { base::ServerId("x"), 4 }, { 1, std::chrono::milliseconds(80) } }
   };
 }
