Refuse tasks that reach a server's worker pool after its shutdown

Seen: router_test, "a long body passes two entry VMs completely and unchanged", ended once with SIGSEGV (KNOWN-RED.txt, not traced then).

Cause: HttpServer::stop() ends the accept loop, which shuts the worker pool down, while the thread of the idle watcher still runs. A connection that became readable (here: closed by the caller at the end of the test) and was taken from the watcher just before was added to the pool after its shutdown. The pool then started a thread that nothing joined before the destructor of the server freed its connections: the thread went on with a freed SocketStream. A stop() could also return while such a request ran.

That this was the cause of the one crash is concluded, there is no core file of it.

The pool now refuses tasks once its shutdown has begun, and the watcher closes the connection in that case.

--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -353,7 +353,7 @@
 };
 
 // Passes the tasks of cpp-httplib to the server's pool. cpp-httplib deletes its task queue when it
-// stops listening, but the pool must outlive it, since the watcher may still add tasks.
+// stops listening, but the watcher may still call the pool then.
 class PoolHandle : public httplib::TaskQueue
 {
 public:
@@ -362,7 +362,8 @@
   {
   }
 
-  void enqueue(std::function<void()> task) override { pool_.enqueue(std::move(task)); }
+  // cpp-httplib adds no task after it has called shutdown().
+  void enqueue(std::function<void()> task) override { pool_.tryEnqueue(std::move(task)); }
   void shutdown() override { pool_.shutdown(); }
 
 private:
@@ -521,7 +522,9 @@
 
   void onReadable(int fd)
   {
-    pool_.enqueue([this, fd] { serve(fd); });
+    if (!pool_.tryEnqueue([this, fd] { serve(fd); })) {
+      closeConnection(fd);
+    }
   }
 
   SocketStream* streamOf(int fd)
--- a/libs/transport/src/WorkerPool.cpp
+++ b/libs/transport/src/WorkerPool.cpp
@@ -12,16 +12,20 @@
   shutdown();
 }
 
-void WorkerPool::enqueue(std::function<void()> task)
+bool WorkerPool::tryEnqueue(std::function<void()> task)
 {
   {
     std::lock_guard lock(mutex_);
+    if (stopping_) {
+      return false;
+    }
     tasks_.push_back(std::move(task));
     if (tasks_.size() > idleThreads_ && threads_.size() < maxThreads_) {
       threads_.emplace_back([this] { run(); });
     }
   }
   wakeUp_.notify_one();
+  return true;
 }
 
 void WorkerPool::shutdown()
--- a/libs/transport/src/WorkerPool.h
+++ b/libs/transport/src/WorkerPool.h
@@ -3,23 +3,26 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
-#include <httplib.h>
 #include <mutex>
 #include <thread>
 #include <vector>
 
 namespace sycamore::transport {
 
-// Pool of a server's worker threads, which are started on demand up to a limit. shutdown() runs the
-// queued tasks before it joins the threads.
-class WorkerPool : public httplib::TaskQueue
+// Pool of a server's worker threads, which are started on demand up to a limit. Thread-safe.
+class WorkerPool
 {
 public:
   explicit WorkerPool(std::size_t maxThreads);
-  ~WorkerPool() override;
+  ~WorkerPool();
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
 
-  void enqueue(std::function<void()> task) override;
-  void shutdown() override;
+  // Returns false, and doesn't run the task, once shutdown() has begun.
+  bool tryEnqueue(std::function<void()> task);
+
+  // Runs the queued tasks, then joins the threads. No task runs afterwards.
+  void shutdown();
 
 private:
   void run();
