End the cancellation of an exchange before its connection is released

Seen: no report of callers; found by reading, shown by the new test.

Cause: HttpClientPool::exchange() gave the connection back to the pool while the caller's CancelHandle still referred to its client. A cancellation between the release and the end of exchange() called stop() on a client that the pool had already closed and freed, or that another thread had already taken, whose request was then lost. In the router, DisconnectMonitor cancels from its own thread when a caller disconnects.

The registration now ends before the connection is released or closed.

--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -227,7 +227,12 @@
     state_->client = &client;
   }
 
-  ~CancelScope()
+  ~CancelScope() { end(); }
+  CancelScope(const CancelScope&) = delete;
+  CancelScope& operator=(const CancelScope&) = delete;
+
+  // Ends the registration: a later cancellation doesn't touch the client.
+  void end()
   {
     if (state_ == nullptr) {
       return;
@@ -300,7 +305,10 @@
   };
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  if (connection.client->send(out, response, error)) {
+  const bool answered = connection.client->send(out, response, error);
+  // A cancellation must not stop the connection once the pool has passed it on or closed it.
+  scope.end();
+  if (answered) {
     const auto connectionHeader = response.get_header_value("Connection");
     if (connectionHeader != "close" && connection.client->is_socket_open() != 0) {
       impl_->release(address, std::move(connection));
