Let a release wait for the work on its keys before it is sent again

What can be seen: a server is given a key on which another is still at work (OWNER), never a key held twice.

Cause: a release was given up after 1 s and sent again. Work may last longer. A server that has nothing left to stop may answer the second release at once, while work that the first one waits for goes on.

Change: a release waits as long as the grants of its keys can last, since the server ends the work with them. A connection may take 1 s as before, and a release whose connection breaks is sent again after 200 ms.

--- a/libs/dispatch/include/dispatch/CoordinatorSettings.h
+++ b/libs/dispatch/include/dispatch/CoordinatorSettings.h
@@ -14,6 +14,10 @@
   // Time after which an unanswered call is abandoned and its connection reset, so that the call
   // can't arrive later.
   base::Duration callTimeout = base::milliseconds(300);
+  // Timeout of a release, which is answered only after the work on its keys has ended. The server
+  // ends that work with the grant. A second release might be answered before the work has ended, so
+  // that the first one isn't given up earlier.
+  base::Duration releaseTimeout = base::milliseconds(2900);
   // Factor by which a server's clock may run slower than this VM's.
   double clockDriftFactor = 1.03;
   // A server that has answered no call for this time is considered lost.
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -6,11 +6,9 @@
 
 namespace {
 
-// Interval after which an unanswered release is sent again.
-constexpr base::Duration kReleaseRetryInterval = base::milliseconds(1100);
-// Interval after which a release that wasn't sent is tried again, such as when the server had no
-// room for another connection.
-constexpr base::Duration kUnsentReleaseRetryInterval = base::milliseconds(200);
+// Interval after which a release that got no answer, or wasn't sent, is tried again, such as when
+// the server had no room for another connection.
+constexpr base::Duration kReleaseRetryInterval = base::milliseconds(200);
 // Maximum number of ranges that get a new owner in one tick: each is compared with all servers, and
 // a coordinator that computes for longer misses its heartbeats.
 constexpr std::size_t kMaxAssignmentsPerTick = 64;
@@ -238,9 +236,8 @@
     if (managed->phase != Phase::Releasing) {
       continue;
     }
-    if (answer.kind == ReleaseAnswer::Kind::NotSent) {
-      managed->nextCallAt = std::min(managed->nextCallAt, now + kUnsentReleaseRetryInterval);
-    } else if (answer.kind == ReleaseAnswer::Kind::Released) {
+    managed->nextCallAt = std::min(managed->nextCallAt, now + kReleaseRetryInterval);
+    if (answer.kind == ReleaseAnswer::Kind::Released) {
       managed->handover = answer.handover;
       if (now < unansweredGrantsExpireAt(managed->range)) {
         managed->phase = Phase::Released;
@@ -485,7 +482,7 @@
   // owner still runs.
   const BackendServer* const owner =
     incarnations_.find(incarnationOf(managed.range.owner, managed.range.born));
-  managed.nextCallAt = now + kReleaseRetryInterval;
+  managed.nextCallAt = now + settings_.releaseTimeout + kReleaseRetryInterval;
   if (owner == nullptr) {
     return;
   }
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -238,6 +238,10 @@
       clock_.now());
     return;
   }
+  if (server->holdsReleasesOpen) {
+    ++openReleases_;
+    return;
+  }
   std::deque<Held> kept;
   for (const Held& held : server->held) {
     if (!overlap(held.from, held.to, order.from, order.to)) {
--- a/libs/dispatch/tests/CoordinatorFixture.h
+++ b/libs/dispatch/tests/CoordinatorFixture.h
@@ -50,6 +50,12 @@
   // endOpenCalls().
   void holdCallsOpen(const base::ServerId& server) { servers_.at(server).holdsCallsOpen = true; }
   void endOpenCalls();
+  // Lets the server's releases wait for its work from now on: they get no answer.
+  void holdReleasesOpen(const base::ServerId& server)
+  {
+    servers_.at(server).holdsReleasesOpen = true;
+  }
+  std::size_t openReleases() const { return openReleases_; }
   // Makes grants take effect while their answers are lost.
   void loseAnswers(const base::ServerId& server, bool lose);
   void setStoreReachable(bool reachable) { storeReachable_ = reachable; }
@@ -83,6 +89,7 @@
     bool reachable = true;
     bool losesAnswers = false;
     bool holdsCallsOpen = false;
+    bool holdsReleasesOpen = false;
   };
 
   std::string newAddress();
@@ -107,6 +114,7 @@
   bool storeReachable_ = true;
   GrantOrder lastGrant_;
   std::size_t grantsSent_ = 0;
+  std::size_t openReleases_ = 0;
   std::size_t handoverTokensPassed_ = 0;
   unsigned nextServer_ = 0;
   unsigned nextAddress_ = 1;
--- a/libs/dispatch/tests/KeyCoordinatorTest.cpp
+++ b/libs/dispatch/tests/KeyCoordinatorTest.cpp
@@ -139,6 +139,23 @@
   CHECK(!fixture.holder(0).value().empty());
 }
 
+// Guards against keys that move while their owner works on them: a second release may be answered
+// at once.
+TEST_CASE("a release isn't sent again while the first one waits for work on the keys")
+{
+  CoordinatorFixture fixture(2);
+  fixture.run(seconds(5));
+  const base::ServerId leaving = fixture.ranges().front().owner;
+  std::size_t ranges = 0;
+  for (const KeyRange& range : fixture.ranges()) {
+    ranges += range.owner == leaving ? 1 : 0;
+  }
+  fixture.holdReleasesOpen(leaving);
+  fixture.drain(leaving);
+  fixture.run(milliseconds(2700));
+  CHECK(fixture.openReleases() == ranges);
+}
+
 // Guards against two owners of a key: a previous coordinator that was cut off renewed grants for
 // seconds after a later one had reported that it had itself stopped (seen in magnolia-verse
 // trouble-1).
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -24,6 +24,8 @@
   // Time for which the call may go without an answer or, if `maxDuration` is longer, without a
   // further byte of it.
   base::Duration timeout{};
+  // Time that a new connection may take to be established; zero means the timeout.
+  base::Duration connectTimeout{};
   // Checked right before the call is written to a connection, which may be long after the call
   // began if the process got no processor time. If it doesn't hold, the call isn't sent. May be
   // empty.
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -70,8 +70,8 @@
   void requestConfirmation();
   void recordConfirmation(base::TimePoint sentAt);
   void onConfirmationRead(const StoreAnswer& answer, base::TimePoint sentAt);
-  // Returns an id that no other call to a server has.
-  std::string newCallId();
+  // Returns a call to a server, without its body.
+  Call callTo(const dispatch::BackendServer& server, std::string path);
   void sendGrant(const dispatch::GrantOrder& order);
   void sendRelease(const dispatch::ReleaseOrder& order);
 
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -60,11 +60,13 @@
   pending->endsAt = now + std::max(call.timeout, call.maxDuration);
   awaitTimeout(pending);
   const bool needsId = !call.requestId.empty();
+  const base::Duration connectTimeout =
+    call.connectTimeout > base::Duration::zero() ? call.connectTimeout : call.timeout;
   pending->connection->exchange(
     std::move(bytes),
     std::move(call.requestId),
     false,
-    now + call.timeout,
+    now + connectTimeout,
     [this, pending, needsId, endpoint = call.endpoint](ExchangeResult result) {
       pending->timer.cancel();
       if (result.reusable && needsId && !result.isIdentified) {
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -13,9 +13,8 @@
 
 // Delay before an unanswered write is retried.
 constexpr base::Duration kWriteRetryDelay = base::milliseconds(200);
-// Timeout of a release. It is longer than the timeout of other calls to servers because a release
-// is answered only after the requests in progress on its keys have ended.
-constexpr base::Duration kReleaseTimeout = base::milliseconds(1000);
+// Time for connecting to a server that is to release keys, after which another attempt is made.
+constexpr base::Duration kReleaseConnectTimeout = base::milliseconds(1000);
 // Maximum number of ranges in one line of the log.
 constexpr std::size_t kRangesPerLine = 32;
 
@@ -324,23 +323,26 @@
   return storeReachable_ && storeContact_.isRecent(now);
 }
 
-std::string CoordinatorRole::newCallId()
+// The call carries an id that no other has.
+Call CoordinatorRole::callTo(const dispatch::BackendServer& server, std::string path)
 {
-  return std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
+  Call call;
+  call.endpoint = endpointOf(server);
+  call.method = "POST";
+  call.path = std::move(path);
+  call.headers = wire::serverHeader(server.id);
+  call.requestId = std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
+  return call;
 }
 
 void CoordinatorRole::sendGrant(const dispatch::GrantOrder& order)
 {
-  Call call{ endpointOf(order.server),
-             "POST",
-             wire::grantPath(),
-             wire::serverHeader(order.server.id),
-             wire::grantBody(order, settings_.grantDuration),
-             newCallId(),
-             settings_.callTimeout,
-             [this, order, term = term_] {
-               return term == term_ && coordinator_->maySend(order, clockNow());
-             } };
+  Call call = callTo(order.server, wire::grantPath());
+  call.body = wire::grantBody(order, settings_.grantDuration);
+  call.timeout = settings_.callTimeout;
+  call.maySend = [this, order, term = term_] {
+    return term == term_ && coordinator_->maySend(order, clockNow());
+  };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("grant", order.server.domain == domain_, result.bytes);
     if (term != term_) {
@@ -373,17 +375,14 @@
 
 void CoordinatorRole::sendRelease(const dispatch::ReleaseOrder& order)
 {
-  Call call{ endpointOf(order.server),
-             "POST",
-             wire::releasePath(),
-             wire::serverHeader(order.server.id),
-             wire::releaseBody(order),
-             newCallId(),
-             kReleaseTimeout,
-             [this, term = term_] {
-               return term == term_ && coordinator_->isConfirmed(clockNow());
-             },
-             true };
+  Call call = callTo(order.server, wire::releasePath());
+  call.body = wire::releaseBody(order);
+  call.timeout = settings_.releaseTimeout;
+  call.connectTimeout = kReleaseConnectTimeout;
+  call.maySend = [this, term = term_] {
+    return term == term_ && coordinator_->isConfirmed(clockNow());
+  };
+  call.needsNewConnection = true;
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("release", order.server.domain == domain_, result.bytes);
     if (term != term_) {
