--- a/libs/dispatch/tests/OwnershipCoordinators.cpp
+++ b/libs/dispatch/tests/OwnershipCoordinators.cpp
@@ -432,7 +432,7 @@
   if (play_.basic.chance(1)) {
     record(play_.basic.below(kKeyBuckets));
   }
-  if (play_.draws(OwnershipDraw::LateGrant) && play_.extra.chance(3)) {
+  if (play_.draws(OwnershipDraw::LateGrant) && play_.extra.chance(8)) {
     record(play_.extra.below(kKeyBuckets));
   }
 }
--- a/libs/dispatch/tests/OwnershipModel.cpp
+++ b/libs/dispatch/tests/OwnershipModel.cpp
@@ -16,7 +16,7 @@
   CoordinatorSettings settings;
   if (kinds.contains(OwnershipDraw::LateGrant)) {
     // Few ranges, so that split ones are soon merged.
-    settings.placement.rangesPerServer = 1;
+    settings.placement.rangesPerServer = 2;
   }
   return settings;
 }
