--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -157,17 +157,21 @@
 {
 public:
   // `record` is the record in the store. `previousCoordinatorsGrantUntil` is the time until which
-  // any previous coordinator may still grant.
+  // any previous coordinator may still grant. `confirmedAt` is the time of the call by whose answer
+  // the store confirmed this VM as the coordinator.
   KeyCoordinator(CoordinatorSettings settings,
                  OwnershipRecord record,
                  base::TimePoint previousCoordinatorsGrantUntil,
-                 base::TimePoint now);
+                 base::TimePoint confirmedAt);
 
   const OwnershipRecord& record() const { return record_; }
 
   // Set the registered servers, the policies of the services, and the failure domains that are out
   // of service. Only keyed services are managed.
   void setServers(const std::map<base::ServerId, BackendServer>& servers, base::TimePoint now);
+  // Adds servers that are no longer registered and may still hold keys by grants of a previous
+  // coordinator.
+  void addFormerServers(const std::vector<BackendServer>& servers);
   void setServices(const std::map<base::ServiceId, ServicePolicy>& services);
   void setDomainsOut(const std::set<base::DomainId>& domains);
   // Sets the servers that name a limit in their answers.
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -95,32 +95,29 @@
     return;
   }
   const dispatch::Coordinator previous = record.coordinator;
-  if (previous == self_) {
-    // The record was written by an earlier attempt of this process whose answer was lost.
-    takeoverPending_ = false;
-    beginTerm(std::move(record), revision, clockNow() + settings_.confirmationTimeout);
-    return;
-  }
   if (record.epoch > knownEpoch && !previous.vm.value().empty() && previous.vm != self_.vm) {
     // Another VM has just become the coordinator; leave it time for its first heartbeat.
     takeoverPending_ = false;
     otherCoordinatorListener_(record, revision);
     return;
   }
-  // No other VM can be granting if there was no previous coordinator. An earlier process of this VM
-  // has stopped granting as well, but the coordinators before that process may not have.
+  // No other VM can be granting if there was no previous coordinator. An earlier process at this
+  // address has ended as well, since this one could bind its port, but the coordinators before that
+  // process may still be granting.
+  const bool isEarlierProcess = previous.vm == self_.vm && previous.address == self_.address;
   const bool previousCoordinatorsStopped =
-    previous.vm.value().empty() || (previous.vm == self_.vm && record.previousCoordinatorsStopped);
+    previous.vm.value().empty() || (isEarlierProcess && record.previousCoordinatorsStopped);
   record.coordinator = self_;
   record.previousCoordinatorsStopped = previousCoordinatorsStopped;
   ++record.epoch;
   const std::string content = dispatch::writeOwnershipRecord(record);
+  const base::TimePoint sentAt = clockNow();
   store_.write(
     wire::Kind::Ownership,
     wire::kOwnershipName,
     revision,
     content,
-    [this, record, revision, previousCoordinatorsStopped](const StoreAnswer& written) {
+    [this, record, revision, previousCoordinatorsStopped, sentAt](const StoreAnswer& written) {
       takeoverPending_ = false;
       if (written.outcome != StoreOutcome::Done) {
         return;
@@ -130,7 +127,8 @@
         const wire::StoreObject object = wire::readObject(written.body);
         beginTerm(record,
                   object.revision,
-                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout);
+                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout,
+                  sentAt);
         recordConfirmedListener_(record, { revision, object.revision, {}, self_, record.epoch });
       } catch (const wire::WireError& error) {
         log_.write("store_answer_unreadable", { { "error", error.what() } });
@@ -140,7 +138,8 @@
 
 void CoordinatorRole::beginTerm(dispatch::OwnershipRecord record,
                                 std::uint64_t revision,
-                                base::TimePoint previousCoordinatorsStopAt)
+                                base::TimePoint previousCoordinatorsStopAt,
+                                base::TimePoint confirmedAt)
 {
   const base::TimePoint now = clockNow();
   ++term_;
@@ -149,13 +148,14 @@
   recordChanged_ = false;
   confirmationPending_ = false;
   storeReachable_ = true;
-  storeContact_ = dispatch::StoreContact({}, now);
+  storeContact_ = dispatch::StoreContact({}, confirmedAt);
   log_.write("coordinator_began",
              { { "epoch", record.epoch },
                { "revision", revision },
-               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) } });
+               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) },
+               { "confirmed_ms", millisecondsFrom(confirmedAt, now) } });
   coordinator_ = std::make_unique<dispatch::KeyCoordinator>(
-    settings_, std::move(record), previousCoordinatorsStopAt, now);
+    settings_, std::move(record), previousCoordinatorsStopAt, confirmedAt);
 }
 
 void CoordinatorRole::resign(const char* reason)
@@ -319,6 +319,11 @@
   return storeReachable_ && storeContact_.isRecent(now);
 }
 
+std::string CoordinatorRole::newCallId()
+{
+  return std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
+}
+
 void CoordinatorRole::sendGrant(const dispatch::GrantOrder& order)
 {
   Call call{ endpointOf(order.server),
@@ -326,6 +331,7 @@
              wire::grantPath(),
              wire::serverHeader(order.server.id),
              wire::grantBody(order, settings_.grantDuration),
+             newCallId(),
              settings_.callTimeout,
              [this, order, term = term_] {
                return term == term_ && coordinator_->maySend(order, clockNow());
@@ -364,6 +370,7 @@
              wire::releasePath(),
              wire::serverHeader(order.server.id),
              wire::releaseBody(order),
+             newCallId(),
              kReleaseTimeout,
              nullptr,
              true };
