--- a/libs/dispatch/tests/OwnershipServers.cpp
+++ b/libs/dispatch/tests/OwnershipServers.cpp
@@ -125,6 +125,10 @@
 
 void OwnershipServers::step()
 {
+  if (entriesBefore_ != entries_) {
+    former_.onServersChanged(entriesBefore_, entries_, play_.clock.now());
+    entriesBefore_ = entries_;
+  }
   for (const auto& server : servers_) {
     if (server->startsAgainAt && play_.clock.now() >= *server->startsAgainAt) {
       startAgain(*server);
--- a/libs/dispatch/tests/OwnershipServers.h
+++ b/libs/dispatch/tests/OwnershipServers.h
@@ -3,6 +3,7 @@
 #include "OwnershipCheck.h"
 #include "OwnershipDraws.h"
 
+#include <dispatch/FormerServers.h>
 #include <dispatch/KeyCoordinator.h>
 
 #include <map>
@@ -63,6 +64,8 @@
   // Their entries in the store.
   const std::map<base::ServerId, BackendServer>& entries() const { return entries_; }
   const std::vector<std::unique_ptr<ModelServer>>& all() const { return servers_; }
+  // Returns the servers whose entries were replaced or removed lately.
+  std::vector<BackendServer> former() { return former_.servers(play_.clock.now()); }
   // Returns the server that calls for this entry reach; null if there is none.
   ModelServer* at(const BackendServer& entry);
 
@@ -98,6 +101,8 @@
   base::Duration grantDuration_;
   std::vector<std::unique_ptr<ModelServer>> servers_;
   std::map<base::ServerId, BackendServer> entries_;
+  std::map<base::ServerId, BackendServer> entriesBefore_;
+  FormerServers former_;
   unsigned nextServer_ = 0;
   unsigned nextAddress_ = 1;
   std::int64_t nextBorn_ = 1000;
