End the calls of a killed process in the model of ownership

Trace: a stalled coordinator sent a renewal at 11.84 s, its process was killed at 12.16 s and another at the same address took over without a wait; the renewal arrived at 15.82 s, 4 s after its sending. The model had kept the dead process's call open for as long as it would have been stalled. The users' rule doesn't count grants that were held up on their way, and a process that has ended has no open calls, so that the draw now ends the stall with the process.

--- a/libs/dispatch/tests/OwnershipSeedTest.cpp
+++ b/libs/dispatch/tests/OwnershipSeedTest.cpp
@@ -43,6 +43,8 @@
     // A predecessor's report shortened the wait for grants of the process's own first term.
     { 151, { OwnershipDraw::SecondTerm } },
     { 220, { OwnershipDraw::SecondTerm } },
+    // A call of a killed process was on its way for 4 s, which the users' rule doesn't count.
+    { 800, { OwnershipDraw::LateTakeover, OwnershipDraw::SameVmName, OwnershipDraw::LateWrite } },
     // A copy of an earlier answer counted for a grant that was carried out later.
     { 2, { OwnershipDraw::CopiedGrantAnswer } },
   };
--- a/libs/dispatch/tests/OwnershipTakeovers.cpp
+++ b/libs/dispatch/tests/OwnershipTakeovers.cpp
@@ -2,6 +2,8 @@
 
 #include "OwnershipTerm.h"
 
+#include <algorithm>
+
 namespace sycamore::dispatch {
 
 namespace {
@@ -136,6 +138,8 @@
       if (term.self == former) {
         term.coordinator = nullptr;
         term.hasBegun = true;
+        // A process that was killed keeps no call open, also if it was stalled.
+        term.stalledUntil = std::min(term.stalledUntil, play_.clock.now());
       }
     }
   }
