Keep connections to servers that don't repeat the ids of grants

Such a connection is kept again, and its answers count in the order of the calls, as before; on one whose first answer repeated the id, every answer must.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -38,8 +38,8 @@
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
-// resets its connection, so that it can't arrive later. The connection of a call with an id is kept
-// only if the answer has repeated the id. Control thread only.
+// resets its connection, so that it can't arrive later. An answer to a call with an id must repeat
+// the id, unless the first answer on that connection didn't. Control thread only.
 class CallClient
 {
 public:
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -85,6 +85,10 @@
   // Watches the idle connection and calls the listener when it ends.
   void watchIdle(std::function<void()> idleEndListener);
 
+  // Accepts answers without an id from now on, in the order of the requests: the server has
+  // answered a request on this connection without repeating its id.
+  void acceptUnidentifiedAnswers() { acceptsUnidentified_ = true; }
+
   // Returns the time until which the idle connection may be reused: the server's announced or an
   // assumed idle timeout, less a margin.
   base::TimePoint reusableUntil() const { return reusableUntil_; }
@@ -116,6 +120,7 @@
   std::string requestId_;
   // Whether the last answer carried the id of its request.
   bool isIdentified_ = false;
+  bool acceptsUnidentified_ = false;
   Finished finished_;
   std::function<bool()> sendCondition_;
   std::function<void()> idleEndListener_;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -69,10 +69,10 @@
     now + connectTimeout,
     [this, pending, needsId, endpoint = call.endpoint](ExchangeResult result) {
       pending->timer.cancel();
-      if (result.reusable && needsId && !result.isIdentified) {
-        // The answers on it can't be told apart.
-        pending->connection->abandon();
-      } else if (result.reusable) {
+      if (result.reusable) {
+        if (needsId && !result.isIdentified) {
+          pending->connection->acceptUnidentifiedAnswers();
+        }
         idleConnectionsOf(endpoint).put(pending->connection);
       }
       if (pending->finished) {
