Add a seeded run of entry VMs that checks the ownership of keys

Real processes of sycamore-entry against the store, servers in processes of their own and a proxy with faults drawn by a seed. The servers' journals are compared: no key may have two owners.

--- /dev/null
+++ b/scripts/ownership-run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs entry VMs with faults drawn by a seed and checks that no key has two owners. Options: --seed N,
+# --seconds S, --vms V, --servers N, --keep. The program is taken from build/, or from $BUILD_DIR.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+exec "${BUILD_DIR:-build}/tests/entry/ownership_run" "$@"
