Count the same grant to a restarted server as the platform does

A server that starts again under its id at its address may get the grants of its earlier life until its entry is read; the platform's rule of tokens doesn't count the same grant. A higher token still counts, and so does the same one at another address.

--- a/tests/entry/OwnershipCheck.h
+++ b/tests/entry/OwnershipCheck.h
@@ -12,6 +12,9 @@
 {
   // Id and time of start of the server's life.
   std::string name;
+  std::string id;
+  // Number of its address.
+  int address = 0;
   std::vector<JournalEntry> entries;
   // End of its process, or of the run.
   Nanoseconds endedAt = 0;
