--- a/tests/entry/FaultProxy.h
+++ b/tests/entry/FaultProxy.h
@@ -28,7 +28,7 @@
   CopyAnswer,
   // An answer of another server arrives before the next answer on the connection.
   StrayAnswer,
-  // An error that no server sends arrives in place of the answer.
+  // An error that no server sends arrives at once, and the call doesn't.
   SpoilAnswer,
   // A grant gets no answer and is carried out late.
   ApplyLate,
