--- a/tests/entry/FaultSchedule.cpp
+++ b/tests/entry/FaultSchedule.cpp
@@ -1,7 +1,5 @@
 #include "FaultSchedule.h"
 
-#include "CallFaults.h"
-
 #include <dispatch/OwnershipRecord.h>
 
 namespace sycamore::soak {
@@ -48,29 +46,37 @@
   for (std::size_t i = 0; i < kFrequentFaults; ++i) {
     frequent_.push_back(std::uniform_int_distribution<std::size_t>(0, faults_.size() - 1)(random_));
   }
+  // Keys move in every run.
+  const auto drain =
+    std::ranges::find(faults_, "drain", [](const Fault& fault) { return fault.name; });
+  frequent_.push_back(static_cast<std::size_t>(drain - faults_.begin()));
 }
 
 void FaultSchedule::addCallFaults()
 {
   for (const CallFaults& kind : callFaults()) {
     faults_.push_back({ kind.name, [this, &kind] {
-                         const double time = uniform(0.5, kind.maxTime);
-                         const std::string vm = chance(0.4) ? coordinator() : "";
-                         const int address = kind.isStore ? storeAddress_ : drawServerAddress();
-                         for (const CallFaultPart& part : kind.parts) {
-                           addRule({ part.fault,
-                                     part.kinds,
-                                     vm,
-                                     address,
-                                     uniform(part.minShare, part.maxShare),
-                                     part.minSeconds,
-                                     part.maxSeconds },
-                                   time);
-                         }
+                         disturbCalls(kind, kind.isStore ? storeAddress_ : drawServerAddress());
                        } });
   }
 }
 
+void FaultSchedule::disturbCalls(const CallFaults& kind, int address)
+{
+  const double time = uniform(0.5, kind.maxTime);
+  const std::string vm = chance(0.4) ? coordinator() : "";
+  for (const CallFaultPart& part : kind.parts) {
+    addRule({ part.fault,
+              part.kinds,
+              vm,
+              address,
+              uniform(part.minShare, part.maxShare),
+              part.minSeconds,
+              part.maxSeconds },
+            time);
+  }
+}
+
 void FaultSchedule::addProcessFaults()
 {
   using review::EntryVm;
@@ -261,9 +267,14 @@
   });
 }
 
-// A drained server is replaced by a new one, which starts before it or after it has ended.
+// A drained server is replaced by a new one, which starts before it or after it has ended. At times
+// its last calls are disturbed.
 void FaultSchedule::drain(ServerLife& life)
 {
+  const CallFaults& kind = pick(callFaults());
+  if (!kind.isStore && chance(0.7)) {
+    disturbCalls(kind, life.address);
+  }
   fleet_.drain(life);
   const bool isReplacedFirst = chance(0.5);
   if (isReplacedFirst) {
--- a/tests/entry/FaultSchedule.h
+++ b/tests/entry/FaultSchedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallFaults.h"
 #include "OwnershipCheck.h"
 #include "ServerFleet.h"
 #include "VmSides.h"
@@ -48,6 +49,7 @@
   void addCoordinatorFaults();
   void begin();
 
+  void disturbCalls(const CallFaults& kind, int address);
   void disturbVm(const std::function<void(review::EntryVm&)>& fault);
   void restartVm(review::EntryVm& vm, double downFor);
   void disturbServer(const std::function<void(ServerLife&)>& fault);
