--- a/tests/entry/FaultSchedule.cpp
+++ b/tests/entry/FaultSchedule.cpp
@@ -47,9 +47,24 @@
     frequent_.push_back(std::uniform_int_distribution<std::size_t>(0, faults_.size() - 1)(random_));
   }
   // Keys move in every run.
-  const auto drain =
-    std::ranges::find(faults_, "drain", [](const Fault& fault) { return fault.name; });
-  frequent_.push_back(static_cast<std::size_t>(drain - faults_.begin()));
+  frequent_.push_back(indexOf("drain"));
+}
+
+std::size_t FaultSchedule::indexOf(const std::string& name) const
+{
+  const auto found = std::ranges::find(
+    faults_, name, [](const Fault& fault) -> auto& { return fault.name; });
+  if (found == faults_.end()) {
+    throw std::invalid_argument("no fault is called " + name);
+  }
+  return static_cast<std::size_t>(found - faults_.begin());
+}
+
+void FaultSchedule::drawMore(const std::string& name)
+{
+  if (!name.empty()) {
+    frequent_.insert(frequent_.end(), frequent_.size(), indexOf(name));
+  }
 }
 
 void FaultSchedule::addCallFaults()
--- a/tests/entry/FaultSchedule.h
+++ b/tests/entry/FaultSchedule.h
@@ -24,6 +24,9 @@
                 VmSides& sides,
                 review::Record& record);
 
+  // Draws the fault of this name as often as all those together that this run draws more of.
+  void drawMore(const std::string& name);
+
   // Begins and ends the faults that are due.
   void tick();
 
@@ -47,6 +50,7 @@
   void addCallFaults();
   void addProcessFaults();
   void addCoordinatorFaults();
+  std::size_t indexOf(const std::string& name) const;
   void begin();
 
   void disturbCalls(const CallFaults& kind, int address);
--- a/tests/entry/OwnershipRun.cpp
+++ b/tests/entry/OwnershipRun.cpp
@@ -12,6 +12,7 @@
 ABSL_FLAG(double, seconds, 30, "time with faults");
 ABSL_FLAG(int, vms, 12, "number of entry VMs");
 ABSL_FLAG(int, servers, 8, "number of servers at the start");
+ABSL_FLAG(std::string, more, "", "fault that the run draws more than others");
 ABSL_FLAG(std::string, program, ENTRY_PROGRAM, "program of the entry VMs");
 ABSL_FLAG(bool, keep, false, "keep the logs of a run that broke no rule, too");
 
@@ -91,6 +92,7 @@
       throw std::runtime_error("the keys have no owners, logs: " + folder_.path());
     }
     FaultSchedule schedule(seed_, deployment_, fleet_, proxy_, storeAddress_, sides_, record_);
+    schedule.drawMore(absl::GetFlag(FLAGS_more));
     const Nanoseconds beganAt = steadyNow();
     std::set<std::string> endedVms;
     double longestStall = 0;
