--- a/tests/entry/OwnershipRun.cpp
+++ b/tests/entry/OwnershipRun.cpp
@@ -221,8 +221,10 @@
     std::filesystem::remove_all(folder);
     return 0;
   }
+  const std::string more = absl::GetFlag(FLAGS_more);
   std::cout << "  logs: " << folder << "\n  again: scripts/ownership-run.sh --seed " << seed
-            << " --seconds " << time << " --vms " << absl::GetFlag(FLAGS_vms) << "\n";
+            << " --seconds " << time << " --vms " << absl::GetFlag(FLAGS_vms)
+            << (more.empty() ? "" : " --more \"" + more + "\"") << "\n";
   return held ? 0 : 1;
 }
 
