Send the late copy of an answer when the next call arrives in the ownership run

The copy went out with the next answer, so that a call without an answer never met it, and the combination with grants that are carried out late wasn't played.

--- a/tests/entry/CallFaults.h
+++ b/tests/entry/CallFaults.h
@@ -63,7 +63,7 @@
     { "late grants and copies",
       false,
       8,
-      { { ApplyLate, kGrants, 0.2, 0.4, 2, 2.7 }, { CopyAnswer, kGrants, 0.5, 1 } } },
+      { { ApplyLate, kGrants, 0.2, 0.4, 1, 2.2 }, { CopyAnswer, kGrants, 0.5, 1 } } },
     { "busy store", true, 5, { { Busy, kStoreCalls, 0.3, 1, 0, 1 } } },
     { "silent store", true, 6, { { DropCall, kStoreCalls, 0.3, 1.2 } } },
     { "lost answers of the store", true, 6, { { DropAnswer, kStoreCalls, 0.3, 1.2 } } },
--- a/tests/entry/FaultProxy.cpp
+++ b/tests/entry/FaultProxy.cpp
@@ -57,7 +57,7 @@
   review::Channel& channel;
   std::string vm;
   std::shared_ptr<review::Channel> upstream;
-  // Bytes that are sent before the next answer.
+  // Bytes that are sent when the next call arrives, also if it gets no answer of its own.
   std::string early;
 };
 
@@ -154,6 +154,9 @@
 bool FaultProxy::pass(Connection& connection, const review::Message& request)
 {
   const Nanoseconds sentAt = steadyNow();
+  if (!connection.early.empty() && !connection.channel.write(std::exchange(connection.early, ""))) {
+    return false;
+  }
   const CallKind kind = kindOf(request, connection.address.isStore);
   const auto draw = this->draw(connection.vm, connection.number, kind);
   std::string trace;
@@ -197,8 +200,6 @@
                          const std::string& answer,
                          const std::optional<Draw>& draw)
 {
-  std::string bytes = connection.early + answer;
-  connection.early.clear();
   if (draw) {
     switch (draw->fault) {
       case CallFault::HoldAnswer: {
@@ -227,7 +228,7 @@
     awaitLeave(connection.channel);
     return false;
   }
-  return connection.channel.write(bytes);
+  return connection.channel.write(answer);
 }
 
 // Returns nothing if the connection to the server or, with `mayLeave`, the caller has ended.
--- a/tests/entry/FaultProxy.h
+++ b/tests/entry/FaultProxy.h
@@ -24,9 +24,9 @@
   // The connection is reset before the call or in place of its answer.
   ResetCall,
   ResetAnswer,
-  // A copy of the answer arrives before the next answer on the connection.
+  // A copy of the answer arrives when the next call on the connection has been sent.
   CopyAnswer,
-  // An answer of another server arrives before the next answer on the connection.
+  // An answer of another server arrives when the next call on the connection has been sent.
   StrayAnswer,
   // An error that no server sends arrives at once, and the call doesn't.
   SpoilAnswer,
