Stop the test's server before the entry VM that its handler uses

Found by running router_test under the address sanitizer beside other work: in "the loss of the owner after an attempt that may have run is not reported as not run" the server's handler publishes routes to the fixture's entry VM. The fixture destroys the VM before the server, so a handler that starts after the request's deadline of 200 ms used a freed RoutingPublisher: 1 of 150 runs of the case (a heap-use-after-free in RoutingPublisher::publish).

The test now stops the server first; its checks are unchanged.

Still open: the case failed 3 of 150 times and once in a whole run beside load, twice with "unknown timeout" and no request at the server. The request didn't reach the server within its 200 ms.

--- a/libs/router/tests/UnknownOutcomeTest.cpp
+++ b/libs/router/tests/UnknownOutcomeTest.cpp
@@ -114,6 +114,8 @@
   });
   HeaderList headers{ { kKeyHeader, "store-1" }, { kDeadlineHeader, "200" } };
   const auto answer = fixture.caller.call(fixture.vm, "/v1/layout/plan", headers);
+  // The handler uses the VM, and may still run after the deadline.
+  fixture.backend.stop();
   CHECK(verdictOf(answer) == "unknown no-owner");
   CHECK(fixture.backend.count() == 1);
 }
