--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -206,8 +206,8 @@
   isIdentified_ = !facts.requestId.empty() && facts.requestId == requestId_;
   const bool isForOtherRequest = !facts.requestId.empty() && facts.requestId != requestId_;
   // Without an id, the answer may be a late copy of the answer to an earlier request.
-  const bool isAmbiguous = facts.requestId.empty() && !requestId_.empty() && exchanges_ > 1 &&
-                           !acceptsUnidentified_;
+  const bool isAmbiguous =
+    facts.requestId.empty() && !requestId_.empty() && exchanges_ > 1 && !acceptsUnidentified_;
   if (!isInterim && !isForOtherRequest) {
     finish(isAmbiguous ? ExchangeEnd::Malformed : ExchangeEnd::Answered);
     return;
