--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -46,8 +46,8 @@
 
 // A connection to a backend server or to the store. It carries one request at a time, skips a few
 // answers to other requests, and closes when bytes arrive while no request is in progress. An
-// answer without a request id is accepted only if no other request has been sent on the connection.
-// Used by one thread only.
+// answer without a request id is accepted only if no other request has been sent on the connection,
+// or after acceptUnidentifiedAnswers(). Used by one thread only.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
