--- a/tests/entry/OwnershipCheck.cpp
+++ b/tests/entry/OwnershipCheck.cpp
@@ -203,8 +203,9 @@
                   const KeyHistory& taking,
                   const KeyHistory& others)
   {
-    // The platform doesn't count the same grant to a server that was restarted at its address:
-    // calls name the id only, and its entry is new in the store a moment later.
+    // The rule compares a server with others. One that was restarted at its address may take a
+    // renewal of its earlier life, since calls name the id only and its entry appears a moment
+    // later.
     const bool isRestart =
       lives_[taker].id == lives_[other].id && lives_[taker].address == lives_[other].address;
     for (const Take& take : taking.takes) {
