--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -58,14 +58,20 @@
 
 private:
   void onRecordReadForTakeover(const StoreAnswer& answer, std::uint64_t knownEpoch);
+  // Returns whether a coordinator was this process, or an earlier one of this VM that has ended.
+  bool wasHere(const dispatch::Coordinator& coordinator) const;
   void beginTerm(dispatch::OwnershipRecord record,
                  std::uint64_t revision,
-                 base::TimePoint previousCoordinatorsStopAt);
+                 base::TimePoint previousCoordinatorsStopAt,
+                 base::TimePoint confirmedAt);
+  void logOwnerChanges(const std::vector<dispatch::OwnerChange>& changes, base::TimePoint now);
   void writeRecord();
   void onWritten(const StoreAnswer& answer, base::TimePoint sentAt, const std::string& content);
   void requestConfirmation();
   void recordConfirmation(base::TimePoint sentAt);
   void onConfirmationRead(const StoreAnswer& answer, base::TimePoint sentAt);
+  // Returns an id that no other call to a server has.
+  std::string newCallId();
   void sendGrant(const dispatch::GrantOrder& order);
   void sendRelease(const dispatch::ReleaseOrder& order);
 
@@ -90,6 +96,7 @@
   // Incremented whenever this VM becomes the coordinator or stops being it, so that answers to
   // calls of an earlier term are ignored.
   std::uint64_t term_ = 0;
+  std::uint64_t callsToServers_ = 0;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -13,6 +13,7 @@
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
+#include <dispatch/FormerServers.h>
 #include <dispatch/LeavingServers.h>
 #include <dispatch/OwnershipCopy.h>
 #include <dispatch/PeerTable.h>
@@ -58,7 +59,7 @@
   void onServerLimit(const dispatch::ServerIncarnation& server,
                      std::optional<dispatch::RequestLimit> limit);
   // This VM needs permits for requests to a server with a limit.
-  void requestPermits(const dispatch::LimitedServer& limited, unsigned wanted);
+  void requestPermits(const dispatch::PermitQuestion& question);
 
   // Prepares for the end of the process, so that another VM becomes the coordinator.
   void beginDrain();
@@ -132,6 +133,7 @@
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
   dispatch::LeavingServers leavingServers_;
+  dispatch::FormerServers formerServers_;
   dispatch::PeerTable peerTable_;
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -16,6 +16,28 @@
 // Timeout of a release. It is longer than the timeout of other calls to servers because a release
 // is answered only after the requests in progress on its keys have ended.
 constexpr base::Duration kReleaseTimeout = base::milliseconds(1000);
+// Maximum number of ranges in one line of the log.
+constexpr std::size_t kRangesPerLine = 32;
+
+std::int64_t millisecondsFrom(base::TimePoint from, base::TimePoint to)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+const char* nameOf(dispatch::KeysFreedBy freedBy)
+{
+  switch (freedBy) {
+    case dispatch::KeysFreedBy::NoOwner:
+      return "no owner before";
+    case dispatch::KeysFreedBy::Release:
+      return "release";
+    case dispatch::KeysFreedBy::Expiry:
+      return "grants expired";
+    case dispatch::KeysFreedBy::ProcessEnd:
+      return "process ended";
+  }
+  return "";
+}
 
 } // namespace
 
@@ -72,33 +94,28 @@
     takeoverPending_ = false;
     return;
   }
-  const dispatch::Coordinator previous = record.coordinator;
-  if (previous == self_) {
-    // The record was written by an earlier attempt of this process whose answer was lost.
-    takeoverPending_ = false;
-    beginTerm(std::move(record), revision, clockNow() + settings_.confirmationTimeout);
-    return;
-  }
-  if (record.epoch > knownEpoch && !previous.vm.value().empty() && previous.vm != self_.vm) {
-    // Another VM has just become the coordinator; leave it time for its first heartbeat.
+  const bool hadCoordinator = !record.coordinator.vm.value().empty();
+  if (record.epoch > knownEpoch && hadCoordinator && !wasHere(record.coordinator)) {
+    // Another process has just become the coordinator; leave it time for its first heartbeat.
     takeoverPending_ = false;
     otherCoordinatorListener_(record, revision);
     return;
   }
-  // No other VM can be granting if there was no previous coordinator. An earlier process of this VM
-  // has stopped granting as well, but the coordinators before that process may not have.
+  // No other process can be granting if there was no previous coordinator. An earlier one of this
+  // VM has stopped, but the coordinators before it may still be granting.
   const bool previousCoordinatorsStopped =
-    previous.vm.value().empty() || (previous.vm == self_.vm && record.previousCoordinatorsStopped);
+    !hadCoordinator || (wasHere(record.coordinator) && record.previousCoordinatorsStopped);
   record.coordinator = self_;
   record.previousCoordinatorsStopped = previousCoordinatorsStopped;
   ++record.epoch;
   const std::string content = dispatch::writeOwnershipRecord(record);
+  const base::TimePoint sentAt = clockNow();
   store_.write(
     wire::Kind::Ownership,
     wire::kOwnershipName,
     revision,
     content,
-    [this, record, revision, previousCoordinatorsStopped](const StoreAnswer& written) {
+    [this, record, revision, previousCoordinatorsStopped, sentAt](const StoreAnswer& written) {
       takeoverPending_ = false;
       if (written.outcome != StoreOutcome::Done) {
         return;
@@ -108,7 +125,8 @@
         const wire::StoreObject object = wire::readObject(written.body);
         beginTerm(record,
                   object.revision,
-                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout);
+                  previousCoordinatorsStopped ? now : now + settings_.confirmationTimeout,
+                  sentAt);
         recordConfirmedListener_(record, { revision, object.revision, {}, self_, record.epoch });
       } catch (const wire::WireError& error) {
         log_.write("store_answer_unreadable", { { "error", error.what() } });
@@ -116,9 +134,17 @@
     });
 }
 
+// An earlier process at this address has ended, since this one could bind the port that a running
+// process keeps for itself.
+bool CoordinatorRole::wasHere(const dispatch::Coordinator& coordinator) const
+{
+  return coordinator.vm == self_.vm && coordinator.address == self_.address;
+}
+
 void CoordinatorRole::beginTerm(dispatch::OwnershipRecord record,
                                 std::uint64_t revision,
-                                base::TimePoint previousCoordinatorsStopAt)
+                                base::TimePoint previousCoordinatorsStopAt,
+                                base::TimePoint confirmedAt)
 {
   const base::TimePoint now = clockNow();
   ++term_;
@@ -127,16 +153,14 @@
   recordChanged_ = false;
   confirmationPending_ = false;
   storeReachable_ = true;
-  storeContact_ = dispatch::StoreContact({}, now);
-  log_.write(
-    "coordinator_began",
-    { { "epoch", record.epoch },
-      { "revision", revision },
-      { "others_grant_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(previousCoordinatorsStopAt - now)
-          .count() } });
+  storeContact_ = dispatch::StoreContact({}, confirmedAt);
+  log_.write("coordinator_began",
+             { { "epoch", record.epoch },
+               { "revision", revision },
+               { "others_grant_ms", millisecondsFrom(now, previousCoordinatorsStopAt) },
+               { "confirmed_ago_ms", millisecondsFrom(confirmedAt, now) } });
   coordinator_ = std::make_unique<dispatch::KeyCoordinator>(
-    settings_, std::move(record), previousCoordinatorsStopAt, now);
+    settings_, std::move(record), previousCoordinatorsStopAt, confirmedAt);
 }
 
 void CoordinatorRole::resign(const char* reason)
@@ -165,12 +189,45 @@
   for (const dispatch::ReleaseOrder& order : actions.releases) {
     sendRelease(order);
   }
+  logOwnerChanges(actions.ownerChanges, now);
   recordChanged_ = recordChanged_ || actions.mustWriteRecord;
   if (recordChanged_ && !writePending_ && now >= nextWriteAt_) {
     writeRecord();
   }
 }
 
+// Writes one line for each previous owner and reason, with the ranges as lists of first key, last
+// key, previous fencing token, next one, and next owner.
+void CoordinatorRole::logOwnerChanges(const std::vector<dispatch::OwnerChange>& changes,
+                                      base::TimePoint now)
+{
+  using dispatch::incarnationOf;
+  std::map<std::pair<std::string, dispatch::KeysFreedBy>, nlohmann::json> lines;
+  for (const dispatch::OwnerChange& change : changes) {
+    const std::string previous = incarnationOf(change.previous.owner, change.previous.born);
+    nlohmann::json& line = lines[{ previous, change.freedBy }];
+    if (line.is_null()) {
+      line = { { "previous", previous },
+               { "freed_by", nameOf(change.freedBy) },
+               { "free_ms", millisecondsFrom(change.freedAt, now) },
+               { "epoch", coordinator_->record().epoch },
+               { "more_ranges", 0 } };
+    }
+    if (line["ranges"].size() < kRangesPerLine) {
+      line["ranges"].push_back({ change.next.from,
+                                 change.next.to,
+                                 change.previous.fence,
+                                 change.next.fence,
+                                 incarnationOf(change.next.owner, change.next.born) });
+    } else {
+      line["more_ranges"] = line["more_ranges"].get<int>() + 1;
+    }
+  }
+  for (auto& [key, line] : lines) {
+    log_.write("owner_changed", std::move(line));
+  }
+}
+
 void CoordinatorRole::writeRecord()
 {
   writePending_ = true;
@@ -267,6 +324,11 @@
   return storeReachable_ && storeContact_.isRecent(now);
 }
 
+std::string CoordinatorRole::newCallId()
+{
+  return std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
+}
+
 void CoordinatorRole::sendGrant(const dispatch::GrantOrder& order)
 {
   Call call{ endpointOf(order.server),
@@ -274,6 +336,7 @@
              wire::grantPath(),
              wire::serverHeader(order.server.id),
              wire::grantBody(order, settings_.grantDuration),
+             newCallId(),
              settings_.callTimeout,
              [this, order, term = term_] {
                return term == term_ && coordinator_->maySend(order, clockNow());
@@ -284,7 +347,10 @@
       return;
     }
     const dispatch::GrantAnswer answer = grantAnswerOf(result);
-    if (result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown) {
+    const bool isAmbiguous = result.end == ExchangeEnd::Malformed && result.reused;
+    const bool isForeign =
+      result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
+    if (isAmbiguous || isForeign) {
       // The next call gets a new connection, where the answer is certain to be its own.
       calls_.closeIdle(endpointOf(order.server));
     }
@@ -293,8 +359,9 @@
     }
     if (answer != dispatch::GrantAnswer::Accepted) {
       log_.write("grant_failed",
-                 { { "server", order.server.id.value() },
+                 { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
                    { "from", order.from },
+                   { "to", order.to },
                    { "fence", order.fence },
                    { "status", result.answer.result_int() },
                    { "end", static_cast<int>(result.end) },
@@ -311,8 +378,11 @@
              wire::releasePath(),
              wire::serverHeader(order.server.id),
              wire::releaseBody(order),
+             newCallId(),
              kReleaseTimeout,
-             nullptr,
+             [this, term = term_] {
+               return term == term_ && coordinator_->isConfirmed(clockNow());
+             },
              true };
   calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
     bytes_.add("release", order.server.domain == domain_, result.bytes);
@@ -324,11 +394,14 @@
       coordinator_->onServerProcessEnded(order.server);
     }
     log_.write("release",
-               { { "server", order.server.id.value() },
+               { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
+                 { "address", order.server.address },
                  { "from", order.from },
                  { "to", order.to },
                  { "fence", order.fence },
                  { "answered", answer.kind == dispatch::ReleaseAnswer::Kind::Released },
+                 { "has_token", !answer.handover.empty() },
+                 { "status", result.answer.result_int() },
                  { "end", static_cast<int>(result.end) } });
     coordinator_->onReleaseAnswered(order, answer, clockNow());
   });
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -42,6 +42,7 @@
   , settings_(settings)
   , log_(log)
   , view_(std::make_shared<dispatch::RoutingView>())
+  , notices_(log, counts_)
   , requestMemory_(settings.memoryBytes / kRequestMemoryShare)
   , answerMemory_(settings.memoryBytes / kAnswerMemoryShare)
   , random_(seed)
@@ -234,77 +235,33 @@
   return !pool.isLeaving() && !server.draining && !view_->domainsOut.contains(server.domain);
 }
 
-// The pool is marked at once; the control thread tells the other VMs and moves the server's keys.
-void Dispatcher::onServerLeaving(ServerPool& pool)
+dispatch::PermitSeeker Dispatcher::seekerOf(const RequestHandler& request,
+                                            ServerPool& pool,
+                                            base::TimePoint now)
 {
-  if (pool.isLeaving()) {
-    return;
-  }
-  pool.setLeaving();
-  ++counts_.serversLeaving;
-  log_.write("server_leaving",
-             { { "id", pool.server().id.value() },
-               { "born", pool.server().born },
-               { "entry_draining", pool.server().draining } });
-  if (leavingListener_) {
-    leavingListener_({ pool.server().id, pool.server().born });
-  }
-}
-
-void Dispatcher::onServerPaused(ServerPool& pool, base::Duration pause)
-{
-  const base::TimePoint now = clockNow();
-  ++counts_.serverPauses;
-  if (!pool.pause().isActive(now)) {
-    log_.write(
-      "server_paused",
-      { { "id", pool.server().id.value() },
-        { "pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count() } });
-  }
-  pool.pause().onTurnedAway(pause, now);
+  const base::Duration left = std::min(request.targetLeft(now), request.timeLeft(now));
+  return { request.route().priority, now + left - pool.load().expectedLatency(now) };
 }
 
-void Dispatcher::onLimitAnswer(ServerPool& pool,
-                               std::optional<dispatch::RequestLimit> limit,
-                               base::TimePoint sentAt)
-{
-  const bool wasLimited = pool.permits().limit().has_value();
-  const bool mustReport = pool.permits().onAnswer(limit, sentAt, clockNow());
-  if (limit && !wasLimited) {
-    log_.write("server_named_limit",
-               { { "id", pool.server().id.value() },
-                 { "born", pool.server().born },
-                 { "per_second", limit->perSecond } });
-  }
-  if (mustReport && limitListener_) {
-    limitListener_({ pool.server().id, pool.server().born }, limit);
-  }
-}
-
-dispatch::PermitDecision Dispatcher::tryTakePermit(ServerPool& pool, base::TimePoint now)
+dispatch::PermitDecision Dispatcher::tryTakePermit(const RequestHandler& request,
+                                                   ServerPool& pool,
+                                                   base::TimePoint now)
 {
-  if (!pool.permits().limit()) {
-    return dispatch::PermitDecision::Send;
-  }
-  const dispatch::PermitDecision decision = pool.permits().tryTake(view_->entryVms, now);
-  if (decision == dispatch::PermitDecision::Send) {
-    ++counts_.permitsUsed;
-  } else if (decision == dispatch::PermitDecision::Ask && permitListener_) {
-    permitListener_({ { pool.server().id, pool.server().born }, *pool.permits().limit() },
-                    pool.permits().wanted());
-  }
-  return decision;
+  return notices_.tryTakePermit(pool, seekerOf(request, pool, now), view_->entryVms, now);
 }
 
-Dispatcher::Choice Dispatcher::choiceWithoutPermit(const std::shared_ptr<ServerPool>& pool,
+Dispatcher::Choice Dispatcher::choiceWithoutPermit(const RequestHandler& request,
+                                                   const std::shared_ptr<ServerPool>& pool,
                                                    bool awaitsPermit,
                                                    base::TimePoint now)
 {
+  const base::Duration retryIn = pool->permits().retryIn(request.route().priority, now);
   Choice choice = refusal("the server gets as many requests as it takes",
-                          std::max(kLimitRetryDelay, pool->permits().retryIn(now)),
+                          std::max(kLimitRetryDelay, retryIn),
                           counts_.refusedAtLimit,
                           pool);
   choice.awaitsPermit = awaitsPermit;
+  choice.latestSendAt = seekerOf(request, *pool, now).latestSendAt;
   return choice;
 }
 
@@ -351,9 +308,9 @@
     priorityThrottles_[request.service()].onRequestRefused(request.route().priority, now);
     return { nullptr, "the key's owner has no room", *retryDelay, &counts_.refusedNoRoom, pool };
   }
-  const dispatch::PermitDecision permit = tryTakePermit(*pool, now);
+  const dispatch::PermitDecision permit = tryTakePermit(request, *pool, now);
   if (permit != dispatch::PermitDecision::Send) {
-    return choiceWithoutPermit(pool, permit != dispatch::PermitDecision::Refuse, now);
+    return choiceWithoutPermit(request, pool, permit != dispatch::PermitDecision::Refuse, now);
   }
   if (!tryTakeColdStartShare(*pool, now)) {
     return refusal("the key's owner is in its cold start and at its request rate limit",
@@ -459,11 +416,11 @@
       retryDelay = retryDelay ? std::min(*retryDelay, *refused) : refused;
       continue;
     }
-    const dispatch::PermitDecision permit = tryTakePermit(*candidate.pool, now);
+    const dispatch::PermitDecision permit = tryTakePermit(request, *candidate.pool, now);
     if (permit != dispatch::PermitDecision::Send) {
       const bool awaitsPermit = permit != dispatch::PermitDecision::Refuse;
       if (!withoutPermit || (awaitsPermit && !withoutPermit->awaitsPermit)) {
-        withoutPermit = choiceWithoutPermit(candidate.pool, awaitsPermit, now);
+        withoutPermit = choiceWithoutPermit(request, candidate.pool, awaitsPermit, now);
       }
     } else if (tryTakeColdStartShare(*candidate.pool, now)) {
       return { candidate.pool, "", {}, nullptr };
