--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -24,6 +24,8 @@
   // Time for which the call may go without an answer or, if `maxDuration` is longer, without a
   // further byte of it.
   base::Duration timeout{};
+  // Time that a new connection may take to be established; zero means the timeout.
+  base::Duration connectTimeout{};
   // Checked right before the call is written to a connection, which may be long after the call
   // began if the process got no processor time. If it doesn't hold, the call isn't sent. May be
   // empty.
@@ -36,8 +38,8 @@
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
-// resets its connection, so that it can't arrive later. The connection of a call with an id is kept
-// only if the answer has repeated the id. Control thread only.
+// resets its connection, so that it can't arrive later. An answer to a call with an id must repeat
+// the id, unless the first answer on that connection didn't. Control thread only.
 class CallClient
 {
 public:
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -60,17 +60,19 @@
   pending->endsAt = now + std::max(call.timeout, call.maxDuration);
   awaitTimeout(pending);
   const bool needsId = !call.requestId.empty();
+  const base::Duration connectTimeout =
+    call.connectTimeout > base::Duration::zero() ? call.connectTimeout : call.timeout;
   pending->connection->exchange(
     std::move(bytes),
     std::move(call.requestId),
     false,
-    now + call.timeout,
+    now + connectTimeout,
     [this, pending, needsId, endpoint = call.endpoint](ExchangeResult result) {
       pending->timer.cancel();
-      if (result.reusable && needsId && !result.isIdentified) {
-        // The answers on it can't be told apart.
-        pending->connection->abandon();
-      } else if (result.reusable) {
+      if (result.reusable) {
+        if (needsId && !result.isIdentified) {
+          pending->connection->acceptUnidentifiedAnswers();
+        }
         idleConnectionsOf(endpoint).put(pending->connection);
       }
       if (pending->finished) {
