Log calls to the store that go unanswered, and how old a copy may be

With today's lines a watch whose connection went silent looks like a store without changes, and behind_ms counts from an announcement: it said 0 on VMs that were 3.7 s behind.

store_call_unanswered names the call, the age of its connection and when the store last answered another call, which tells a silent connection from a store that doesn't answer. copy_updated and copy_age_seconds tell how long ago an answer for that kind of object showed the copy to be current (CopyFreshness). No change in when anything is called.

--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -34,6 +34,8 @@
   // Time for which the copy of each watched kind is known to lack a change, in the order
   // configuration, servers, domains out.
   std::array<double, 3> secondsBehind{};
+  // Time since the store last showed this VM that the copy holds all changes, in the same order.
+  std::array<double, 3> secondsSinceCurrent{};
   // Key ranges that this VM manages as coordinator, and those of them that no server holds.
   std::size_t ranges = 0;
   std::size_t rangesUnowned = 0;
--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -4,6 +4,7 @@
 #include <entry/ObjectChange.h>
 #include <entry/StoreClient.h>
 
+#include <dispatch/CopyFreshness.h>
 #include <dispatch/DeletedObjects.h>
 #include <dispatch/RelayedCopy.h>
 #include <dispatch/WatchCursor.h>
@@ -73,6 +74,9 @@
   // Returns the time for which the copy is known to lack a change, zero if it lacks none.
   base::Duration timeBehind(base::TimePoint now) const { return relayedCopy_.timeBehind(now); }
 
+  // Returns the time since an answer of the store last showed that the copy holds all changes.
+  base::Duration age(base::TimePoint now) const { return freshness_.age(now); }
+
   // The relaying VM announced that it watches and that its copy last changed at this revision.
   void onRelayAnnouncement(std::uint64_t revision, base::TimePoint now);
   // A coordinator that doesn't watch at the moment was heard.
@@ -86,6 +90,8 @@
   void adoptList(const char* path);
   void watch();
   void onWatch(const StoreAnswer& answer);
+  // Records up to which time the answer of a watch shows that the copy holds all changes.
+  void recordFreshness(const StoreAnswer& answer, const wire::WatchPage& page);
   bool apply(const wire::WatchEvent& event);
   // Returns whether the copy has the states on which the patches are based.
   bool hasBasisOf(const std::vector<ObjectPatch>& patches) const;
@@ -98,6 +104,8 @@
   void publishChange(std::vector<wire::WatchEvent> events, std::uint64_t revision);
   // Logs that the copy has changed, and how long it had been known to lack the change.
   void logUpdate(const char* path, base::Duration behind);
+  // Logs that a call went without an answer, and when the store last answered another one.
+  void logUnanswered(const char* call, const StoreAnswer& answer);
   void onStoreReached();
   // Logs that this number of objects in an answer were left out.
   void logUnreadable(std::size_t objects);
@@ -128,6 +136,9 @@
   Objects listedObjects_;
   dispatch::WatchCursor cursor_;
   dispatch::RelayedCopy relayedCopy_;
+  dispatch::CopyFreshness freshness_;
+  // Time of the call for the list's first page.
+  base::TimePoint listBeganAt_{};
   // Revision of the list's first page. Later pages may be newer; the next watch then returns their
   // changes again.
   std::uint64_t listRevision_ = 0;
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -42,6 +42,10 @@
   std::size_t bytes = 0;
   // Memory that the answer takes.
   BufferReservation memory;
+  // Whether the call was given up because nothing more arrived in time.
+  bool timedOut = false;
+  // Time for which the connection had been open.
+  base::Duration connectionAge{};
 };
 
 // A connection to a backend server or to the store. It carries one request at a time, skips a few
@@ -93,6 +97,11 @@
   // assumed idle timeout, less a margin.
   base::TimePoint reusableUntil() const { return reusableUntil_; }
   bool open() const { return isOpen_; }
+  // Returns the time since the connection was established, zero if it never was.
+  base::Duration age(base::TimePoint now) const
+  {
+    return openedAt_ == base::TimePoint{} ? base::Duration::zero() : now - openedAt_;
+  }
 
 private:
   void connect(base::TimePoint connectDeadline);
@@ -125,6 +134,7 @@
   std::function<bool()> sendCondition_;
   std::function<void()> idleEndListener_;
   base::TimePoint reusableUntil_{};
+  base::TimePoint openedAt_{};
   bool isOpen_ = false;
   bool sendStarted_ = false;
   bool requestWritten_ = false;
--- a/libs/entry/include/entry/StoreClient.h
+++ b/libs/entry/include/entry/StoreClient.h
@@ -32,6 +32,11 @@
 {
   StoreOutcome outcome = StoreOutcome::Unknown;
   std::string body;
+  // Whether the call was given up because nothing more of its answer arrived in time.
+  bool timedOut = false;
+  // Time since the call was made, and for which its connection had been open.
+  base::Duration elapsed{};
+  base::Duration connectionAge{};
 };
 
 // Client of the platform's store. Control thread only.
@@ -70,6 +75,8 @@
   bool mayCall(base::TimePoint now);
   // Returns whether the last completed call was answered and not refused.
   bool reachable() const { return reachable_; }
+  // Returns the time of the last answer to any call.
+  base::TimePoint lastAnswerAt() const { return lastAnswerAt_; }
   const StoreCalls& calls() const { return counts_; }
 
 private:
@@ -85,6 +92,7 @@
   bool reachable_ = false;
   StoreCalls counts_;
   base::TimePoint nextProbeAt_{};
+  base::TimePoint lastAnswerAt_{};
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -100,6 +100,8 @@
     }
     ExchangeResult result;
     result.end = pending->connection->sendStarted() ? ExchangeEnd::Broken : ExchangeEnd::NotSent;
+    result.timedOut = true;
+    result.connectionAge = pending->connection->age(clockNow());
     pending->connection->abandon();
     const Finished done = std::move(pending->finished);
     pending->finished = nullptr;
--- a/libs/entry/src/ControlStatus.cpp
+++ b/libs/entry/src/ControlStatus.cpp
@@ -13,6 +13,21 @@
   out += full + ' ' + telemetry::numberText(value) + '\n';
 }
 
+// Writes a gauge with one series for each kind of objects that are copied.
+void gaugeByKind(std::string& out,
+                 const std::string& name,
+                 const std::string& help,
+                 const std::array<double, 3>& values)
+{
+  constexpr std::array kKinds{ "configuration", "servers", "domains_out" };
+  const std::string full = "sycamore_entry_" + name;
+  telemetry::writeMetricHeader(out, full, help, "gauge");
+  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    out += full + telemetry::labelText({ "kind" }, { kKinds.at(i) }) + ' ' +
+           telemetry::numberText(values.at(i)) + '\n';
+  }
+}
+
 void call(std::string& out, const std::string& name, const char* kind, std::uint64_t count)
 {
   out += name + telemetry::labelText({ "kind" }, { kind }) + ' ' + std::to_string(count) + '\n';
@@ -48,14 +63,14 @@
         "coordinator_silence_seconds",
         "Time since the coordinator was last heard.",
         status.secondsSinceHeartbeat);
-  const std::string behind = "sycamore_entry_copy_behind_seconds";
-  telemetry::writeMetricHeader(
-    out, behind, "Time for which the copy of a kind is known to lack a change.", "gauge");
-  constexpr std::array kKinds{ "configuration", "servers", "domains_out" };
-  for (std::size_t i = 0; i < kKinds.size(); ++i) {
-    out += behind + telemetry::labelText({ "kind" }, { kKinds.at(i) }) + ' ' +
-           telemetry::numberText(status.secondsBehind.at(i)) + '\n';
-  }
+  gaugeByKind(out,
+              "copy_behind_seconds",
+              "Time for which the copy of a kind is known to lack a change.",
+              status.secondsBehind);
+  gaugeByKind(out,
+              "copy_age_seconds",
+              "Time since the store last showed that the copy of a kind holds all changes.",
+              status.secondsSinceCurrent);
   const std::string calls = "sycamore_entry_store_calls_total";
   telemetry::writeMetricHeader(out, calls, "Calls to the store by kind.", "counter");
   call(out, calls, "list", status.calls.lists);
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -723,6 +723,8 @@
   for (std::size_t i = 0; i < mirrors_.size(); ++i) {
     status.secondsBehind.at(i) =
       std::chrono::duration<double>(mirrors_[i]->timeBehind(clockNow())).count();
+    status.secondsSinceCurrent.at(i) =
+      std::chrono::duration<double>(mirrors_[i]->age(clockNow())).count();
   }
   if (coordinatorRole_.active()) {
     status.ranges = coordinatorRole_.coordinator()->managedRanges();
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -196,6 +196,7 @@
     isWatching_ = false;
     listedObjects_.clear();
     listRevision_ = 0;
+    listBeganAt_ = clockNow();
   }
   store_.list(settings_.kind, after, wire::ReadConsistency::Current, [this](StoreAnswer answer) {
     onList(answer);
@@ -206,6 +207,7 @@
 {
   logCatchUp(answer);
   if (answer.outcome != StoreOutcome::Done) {
+    logUnanswered("list", answer);
     onStoreFailure();
     return;
   }
@@ -234,6 +236,7 @@
   if (listRevision_ >= lastChangeRevision_) {
     adoptList(wasCatchingUp ? "catch_up" : "list");
   }
+  freshness_.onShownCurrent(listBeganAt_);
   cursor_.onListed(listRevision_);
   isWatching_ = true;
   continueWatching(isRelay_ ? settings_.settleDelay : kFollowerWatchDelay);
@@ -283,6 +286,7 @@
     return;
   }
   if (answer.outcome != StoreOutcome::Done) {
+    logUnanswered("watch", answer);
     onStoreFailure();
     return;
   }
@@ -301,11 +305,13 @@
       logUpdate(wasCatchingUp ? "catch_up" : "watch", relayedCopy_.timeBehind(clockNow()));
       relayedCopy_.onRead(page.revision);
       publishChange(std::move(events), page.revision);
+      recordFreshness(answer, page);
       onStoreReached();
       isWatching_ = true;
       continueWatching(settings_.settleDelay);
       return;
     }
+    recordFreshness(answer, page);
   } catch (const wire::WireError& error) {
     onUnreadable(error);
     return;
@@ -315,6 +321,18 @@
   continueWatching(std::chrono::milliseconds(0));
 }
 
+void ObjectMirror::recordFreshness(const StoreAnswer& answer, const wire::WatchPage& page)
+{
+  // The read of a missing change may have been answered by a replica that lags.
+  if (!isWatching_) {
+    return;
+  }
+  const base::Duration waited =
+    page.events.empty() ? std::min<base::Duration>(settings_.watchDuration, answer.elapsed)
+                        : base::Duration::zero();
+  freshness_.onShownCurrent(clockNow() - answer.elapsed + waited);
+}
+
 // Notifies the listeners of a change that was read from the store.
 void ObjectMirror::publishChange(std::vector<wire::WatchEvent> events, std::uint64_t revision)
 {
@@ -337,7 +355,21 @@
   log_.write("copy_updated",
              { { "kind", static_cast<int>(settings_.kind) },
                { "path", path },
-               { "behind_ms", toMilliseconds(behind) } });
+               { "behind_ms", toMilliseconds(behind) },
+               { "shown_current_ms", toMilliseconds(freshness_.age(clockNow())) } });
+}
+
+void ObjectMirror::logUnanswered(const char* call, const StoreAnswer& answer)
+{
+  if (!answer.timedOut) {
+    return;
+  }
+  log_.write("store_call_unanswered",
+             { { "kind", static_cast<int>(settings_.kind) },
+               { "call", call },
+               { "elapsed_ms", toMilliseconds(answer.elapsed) },
+               { "connection_age_ms", toMilliseconds(answer.connectionAge) },
+               { "other_answer_ms", toMilliseconds(clockNow() - store_.lastAnswerAt()) } });
 }
 
 void ObjectMirror::logCatchUp(const StoreAnswer& answer) const
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -109,6 +109,7 @@
     error_code optionError;
     self->socket_.set_option(tcp::no_delay(true), optionError);
     self->isOpen_ = true;
+    self->openedAt_ = clockNow();
     self->send();
   });
 }
@@ -240,6 +241,7 @@
   result.bytes = exchangedBytes_;
   result.reused = exchanges_ > 1;
   result.isIdentified = isIdentified_;
+  result.connectionAge = age(clockNow());
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.memory = std::move(memory_);
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -1,5 +1,7 @@
 #include <entry/StoreClient.h>
 
+#include <entry/SteadyTime.h>
+
 #include <algorithm>
 
 namespace sycamore::entry {
@@ -118,16 +120,24 @@
   call.body = std::move(body);
   call.timeout = timeout;
   call.maxDuration = std::max(timeout, kMaxCallDuration);
-  calls_.call(std::move(call), [this, finished = std::move(finished)](ExchangeResult result) {
-    // The store belongs to no failure domain.
-    bytes_.add("store", false, result.bytes);
-    StoreAnswer answer;
-    answer.outcome = outcomeOf(result);
-    answer.body = std::move(result.answer.body());
-    reachable_ = answer.outcome != StoreOutcome::Refused && answer.outcome != StoreOutcome::Unknown;
-    counts_.failed += reachable_ ? 0 : 1;
-    finished(std::move(answer));
-  });
+  const base::TimePoint sentAt = clockNow();
+  calls_.call(std::move(call),
+              [this, sentAt, finished = std::move(finished)](ExchangeResult result) {
+                const base::TimePoint now = clockNow();
+                // The store belongs to no failure domain.
+                bytes_.add("store", false, result.bytes);
+                StoreAnswer answer;
+                answer.outcome = outcomeOf(result);
+                answer.body = std::move(result.answer.body());
+                answer.timedOut = result.timedOut;
+                answer.elapsed = now - sentAt;
+                answer.connectionAge = result.connectionAge;
+                lastAnswerAt_ = result.end == ExchangeEnd::Answered ? now : lastAnswerAt_;
+                reachable_ = answer.outcome != StoreOutcome::Refused &&
+                             answer.outcome != StoreOutcome::Unknown;
+                counts_.failed += reachable_ ? 0 : 1;
+                finished(std::move(answer));
+              });
 }
 
 } // namespace sycamore::entry
