--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -45,7 +46,7 @@
         }
         self->in.append(self->chunk.data(), count);
         const std::size_t headEnd = self->in.find("\r\n\r\n");
-        if (headEnd != std::string::npos) {
+        if (headEnd != std::string::npos && !self->isSilent) {
           const std::string request = std::move(self->in);
           self->in.clear();
           self->perform(react(request));
@@ -100,6 +101,7 @@
   asio::steady_timer timer;
   std::array<char, 65536> chunk{};
   std::string in;
+  bool isSilent = false;
 };
 
 } // namespace
@@ -132,6 +134,15 @@
   }
 }
 
+void FakeServer::silenceConnections(std::size_t count)
+{
+  for (std::size_t i = 0; i < std::min(count, state_->connections.size()); ++i) {
+    if (const auto connection = state_->connections[i].lock()) {
+      connection->isSilent = true;
+    }
+  }
+}
+
 unsigned FakeServer::accepted() const
 {
   return state_->accepted;
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -41,6 +41,9 @@
   const std::vector<std::string>& requests() const;
   // Resets all connections.
   void resetConnections();
+  // Lets the oldest connections go silent: they stay open, and no request on them is answered or
+  // recorded any more.
+  void silenceConnections(std::size_t count);
   // Returns the number of connections that the server has accepted.
   unsigned accepted() const;
   // Returns the number of connections that the other side has ended.
--- a/libs/entry/tests/FakeStore.cpp
+++ b/libs/entry/tests/FakeStore.cpp
@@ -27,6 +27,10 @@
   std::vector<std::string> versions;
   std::size_t staleVersions = 0;
   std::size_t bytesSent = 0;
+  // Keeps silent connections open.
+  std::vector<std::shared_ptr<Connection>> connections;
+
+  std::uint64_t revision() const { return kFirstRevision + versions.size() - 1; }
 
   std::string answer(const StoreCall& call) const
   {
@@ -61,7 +65,7 @@
   {
     socket.async_read_some(asio::buffer(chunk),
                            [self = shared_from_this()](const error_code& error, std::size_t count) {
-                             if (error) {
+                             if (error || self->isSilent) {
                                return;
                              }
                              self->in.append(self->chunk.data(), count);
@@ -71,13 +75,36 @@
                              }
                              const StoreCall call = storeCallOf(self->in);
                              self->in.clear();
-                             self->send(self->state->answer(call));
+                             self->respond(call, std::chrono::steady_clock::now() + call.wait);
                            });
   }
 
+  // Answers a call. A watch that has nothing to tell waits until its end.
+  void respond(const StoreCall& call, std::chrono::steady_clock::time_point end)
+  {
+    if (isSilent) {
+      return;
+    }
+    const bool mustWait = call.kind == StoreCall::Kind::Watch && state->revision() <= call.since &&
+                          std::chrono::steady_clock::now() < end;
+    if (!mustWait) {
+      send(state->answer(call));
+      return;
+    }
+    timer.expires_after(kSendInterval);
+    timer.async_wait([self = shared_from_this(), call, end](const error_code& waitError) {
+      if (!waitError) {
+        self->respond(call, end);
+      }
+    });
+  }
+
   // Sends what the link carries within one interval, then the rest.
   void send(std::string bytes)
   {
+    if (isSilent) {
+      return;
+    }
     const std::size_t intervals = std::chrono::seconds(1) / kSendInterval;
     const std::size_t count = std::min(bytes.size(), state->bytesPerSecond / intervals);
     error_code error;
@@ -104,6 +131,7 @@
   std::shared_ptr<State> state;
   std::array<char, 4096> chunk{};
   std::string in;
+  bool isSilent = false;
 };
 
 FakeStore::FakeStore(asio::io_context& context, std::size_t bytesPerSecond)
@@ -118,6 +146,8 @@
 {
   error_code ignored;
   acceptor_.close(ignored);
+  // The connections refer to the state.
+  state_->connections.clear();
 }
 
 void FakeStore::write(std::size_t routes)
@@ -129,7 +159,7 @@
 
 std::uint64_t FakeStore::revision() const
 {
-  return kFirstRevision + state_->versions.size() - 1;
+  return state_->revision();
 }
 
 void FakeStore::setStaleVersions(std::size_t versions)
@@ -137,6 +167,13 @@
   state_->staleVersions = versions;
 }
 
+void FakeStore::silenceConnections()
+{
+  for (const auto& connection : state_->connections) {
+    connection->isSilent = true;
+  }
+}
+
 std::size_t FakeStore::bytesSent() const
 {
   return state_->bytesSent;
@@ -148,7 +185,9 @@
     if (error) {
       return;
     }
-    std::make_shared<Connection>(std::move(socket), state)->read();
+    const auto connection = std::make_shared<Connection>(std::move(socket), state);
+    state->connections.push_back(connection);
+    connection->read();
     accept();
   });
 }
--- a/libs/entry/tests/FakeStore.h
+++ b/libs/entry/tests/FakeStore.h
@@ -8,7 +8,7 @@
 namespace sycamore::entry {
 
 // A store on the loopback interface that holds one configuration, whose answers arrive no faster
-// than a link of the given rate carries them.
+// than a link of the given rate carries them. Watches wait for a change.
 class FakeStore
 {
 public:
@@ -22,6 +22,9 @@
   std::uint64_t revision() const;
   // Lets answers that may be outdated show the state of this many versions ago.
   void setStaleVersions(std::size_t versions);
+  // Lets the connections that exist now go silent: they stay open, and nothing is read from them or
+  // sent on them any more. New ones work.
+  void silenceConnections();
   // Returns the number of bytes sent so far.
   std::size_t bytesSent() const;
 
