Make the states of ObjectMirror explicit

Six flags told what the copy was doing, three of which excluded each other in ways that only their order of assignment showed. One enumeration names the activity: following, listing, watching, settling, reading the history, awaiting a retry.

--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -67,7 +68,10 @@
   void tick(bool isRelay, bool isStandby, base::TimePoint now);
 
   // Returns whether the copy follows the store by its own watch.
-  bool isWatching() const { return isWatching_ && storeReachable_; }
+  bool isWatching() const
+  {
+    return activity_ == Activity::Watching || activity_ == Activity::Settling;
+  }
   // Returns the revision at which the copy last changed.
   std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
 
@@ -85,6 +89,20 @@
   void onChangePart(const ObjectChange& change);
 
 private:
+  enum class Activity
+  {
+    // No call: the changes arrive by messages.
+    Following,
+    Listing,
+    Watching,
+    // The delay between a list or a change and the next watch.
+    Settling,
+    // Reads the changes since the copy's revision, after a message was lost.
+    ReadingHistory,
+    // The delay between a failure and the next list.
+    AwaitingRetry
+  };
+
   void list(const std::string& after);
   void onList(const StoreAnswer& answer);
   void adoptList(const char* path);
@@ -147,17 +165,15 @@
   std::uint64_t requestedRevision_ = 0;
   unsigned consecutiveFailures_ = 0;
   bool isRelay_ = false;
-  // Whether a call, or the delay before it, is in progress.
-  bool callPending_ = false;
-  bool isWatching_ = false;
+  Activity activity_ = Activity::Following;
   // Whether a change couldn't be applied, so that all objects must be listed.
   bool isOutdated_ = false;
   // Whether the last read of the history failed. The history may have grown too long for a call, so
   // that the next read is a list.
   bool historyReadFailed_ = false;
-  // Whether the call in progress is for a missing change, and when it began.
-  bool isCatchingUp_ = false;
-  base::TimePoint catchUpBeganAt_{};
+  // Time at which the call in progress began, if it is for a missing change.
+  std::optional<base::TimePoint> catchUpBeganAt_;
+  // Whether the last call was answered, for the log.
   bool storeReachable_ = true;
 };
 
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -58,7 +58,7 @@
 {
   isRelay_ = isRelay;
   relayedCopy_.setStandby(isStandby);
-  if (callPending_) {
+  if (activity_ != Activity::Following) {
     return;
   }
   if (isRelay_ || isOutdated_ || relayedCopy_.mustWatchStore(now)) {
@@ -72,7 +72,6 @@
 // Reads what has changed after a message was lost.
 void ObjectMirror::catchUp()
 {
-  isCatchingUp_ = true;
   catchUpBeganAt_ = clockNow();
   log_.write("change_missed",
              { { "kind", static_cast<int>(settings_.kind) },
@@ -89,7 +88,7 @@
 // gone and all objects are listed.
 void ObjectMirror::readHistory()
 {
-  callPending_ = true;
+  activity_ = Activity::ReadingHistory;
   cursor_.onListed(relayedCopy_.completeRevision());
   // The first read for an announced revision may be outdated; a repeated one must be current.
   const wire::ReadConsistency reading = relayedCopy_.announcedRevision() > requestedRevision_
@@ -108,7 +107,7 @@
   const std::uint64_t before = lastChangeRevision_;
   historyReadFailed_ = answer.outcome != StoreOutcome::Done;
   onWatch(answer);
-  if (lastChangeRevision_ != before || callPending_) {
+  if (lastChangeRevision_ != before || activity_ != Activity::Following) {
     return;
   }
   if (reading == wire::ReadConsistency::StaleAllowed) {
@@ -191,9 +190,8 @@
 
 void ObjectMirror::list(const std::string& after)
 {
-  callPending_ = true;
+  activity_ = Activity::Listing;
   if (after.empty()) {
-    isWatching_ = false;
     listedObjects_.clear();
     listRevision_ = 0;
     listBeganAt_ = clockNow();
@@ -229,7 +227,7 @@
     return;
   }
   onStoreReached();
-  const bool wasCatchingUp = std::exchange(isCatchingUp_, false);
+  const bool wasCatchingUp = std::exchange(catchUpBeganAt_, std::nullopt).has_value();
   historyReadFailed_ = false;
   isOutdated_ = false;
   // Messages that arrived during the list may have brought newer objects.
@@ -238,7 +236,6 @@
   }
   freshness_.onShownCurrent(listBeganAt_);
   cursor_.onListed(listRevision_);
-  isWatching_ = true;
   continueWatching(isRelay_ ? settings_.settleDelay : kFollowerWatchDelay);
 }
 
@@ -269,6 +266,7 @@
 
 void ObjectMirror::watch()
 {
+  activity_ = Activity::Watching;
   store_.watch(settings_.kind,
                cursor_.startRevision(clockNow()),
                settings_.watchDuration,
@@ -279,7 +277,7 @@
 void ObjectMirror::onWatch(const StoreAnswer& answer)
 {
   logCatchUp(answer);
-  const bool wasCatchingUp = std::exchange(isCatchingUp_, false);
+  const bool wasCatchingUp = std::exchange(catchUpBeganAt_, std::nullopt).has_value();
   if (answer.outcome == StoreOutcome::HistoryGone) {
     log_.write("store_history_gone", { { "kind", static_cast<int>(settings_.kind) } });
     list("");
@@ -307,7 +305,6 @@
       publishChange(std::move(events), page.revision);
       recordFreshness(answer, page);
       onStoreReached();
-      isWatching_ = true;
       continueWatching(settings_.settleDelay);
       return;
     }
@@ -317,14 +314,13 @@
     return;
   }
   onStoreReached();
-  isWatching_ = true;
   continueWatching(std::chrono::milliseconds(0));
 }
 
 void ObjectMirror::recordFreshness(const StoreAnswer& answer, const wire::WatchPage& page)
 {
   // The read of a missing change may have been answered by a replica that lags.
-  if (!isWatching_) {
+  if (activity_ != Activity::Watching) {
     return;
   }
   const base::Duration waited =
@@ -374,14 +370,14 @@
 
 void ObjectMirror::logCatchUp(const StoreAnswer& answer) const
 {
-  if (!isCatchingUp_) {
+  if (!catchUpBeganAt_) {
     return;
   }
   log_.write("change_read",
              { { "kind", static_cast<int>(settings_.kind) },
                { "outcome", static_cast<int>(answer.outcome) },
                { "bytes", answer.body.size() },
-               { "elapsed_ms", toMilliseconds(clockNow() - catchUpBeganAt_) } });
+               { "elapsed_ms", toMilliseconds(clockNow() - *catchUpBeganAt_) } });
 }
 
 void ObjectMirror::onStoreReached()
@@ -397,14 +393,14 @@
 void ObjectMirror::continueWatching(std::chrono::milliseconds delay)
 {
   if (!isRelay_ && !relayedCopy_.mustWatchStore(clockNow())) {
-    callPending_ = false;
-    isWatching_ = false;
+    activity_ = Activity::Following;
     return;
   }
   if (delay.count() == 0) {
     watch();
     return;
   }
+  activity_ = Activity::Settling;
   timer_.expires_after(delay);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -461,8 +457,7 @@
   const auto delay =
     std::min(kMaxRetryDelay, kMinRetryDelay * (1 << std::min(consecutiveFailures_, 5U)));
   ++consecutiveFailures_;
-  isWatching_ = false;
-  isCatchingUp_ = false;
+  catchUpBeganAt_.reset();
   const double fraction = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
   scheduleList(std::chrono::duration_cast<std::chrono::milliseconds>(delay * fraction));
 }
@@ -471,6 +466,7 @@
 // relaying VM keeps up to date needs no call.
 void ObjectMirror::scheduleList(std::chrono::milliseconds delay)
 {
+  activity_ = Activity::AwaitingRetry;
   timer_.expires_after(delay);
   timer_.async_wait([this](const error_code& error) {
     if (error) {
@@ -478,7 +474,7 @@
     }
     const base::TimePoint now = clockNow();
     if (!isRelay_ && !relayedCopy_.mustWatchStore(now)) {
-      callPending_ = false;
+      activity_ = Activity::Following;
     } else if (store_.mayCall(now)) {
       list("");
     } else {
