Find out in time that a watch has gone silent

Callers were refused by a version of the configuration that had been replaced seconds before. Cause: the coordinator watches for all VMs, with watches of 4 s and 700 ms for the answer, under a promise of 2 s. While the connection of a watch was silent, the coordinator went on to announce its old revision, because reads on another connection were answered.

- Watches end after 750 ms; one that is silent is found out after 1.45 s.
- CopyFreshness tells how old a copy may be, by answered calls for its own kind only.
A coordinator announces copies that are shown current within 2 s.
- ReadRetry repeats the first call that times out at once: a new connection tells whether the store or only the connection is gone.
- A call that times out while a later one is answered no longer makes the store count as unreachable, which made the other copies wait for one probe a second.

Cost: about 3 more calls to the store a second from one VM, whatever the number of VMs.

--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -6,6 +6,7 @@
 
 #include <dispatch/CopyFreshness.h>
 #include <dispatch/DeletedObjects.h>
+#include <dispatch/ReadRetry.h>
 #include <dispatch/RelayedCopy.h>
 #include <dispatch/WatchCursor.h>
 #include <wire/WireError.h>
@@ -32,8 +33,10 @@
 {
   wire::Kind kind = wire::Kind::Servers;
   CatchUp catchUp = CatchUp::CurrentState;
-  // Time after which a watch ends if there are no changes.
-  std::chrono::milliseconds watchDuration{ 4000 };
+  // Time after which a watch ends if there are no changes. A watch whose connection has gone silent
+  // hides changes until then, and for the time that its answer may take: together with the list
+  // that follows, less than the time in which a change has to be in force.
+  std::chrono::milliseconds watchDuration{ 750 };
   // Delay between a change and the next watch, so that several changes in quick succession are read
   // with one call.
   std::chrono::milliseconds settleDelay{ 150 };
@@ -72,6 +75,9 @@
   {
     return activity_ == Activity::Watching || activity_ == Activity::Settling;
   }
+  // Returns whether the other VMs may rely on the copy: it follows the store by its own watch,
+  // whose answers show that it lacks no change.
+  bool mayRelay(base::TimePoint now) const { return isWatching() && freshness_.isReliable(now); }
   // Returns the revision at which the copy last changed.
   std::uint64_t lastChangeRevision() const { return lastChangeRevision_; }
 
@@ -128,7 +134,8 @@
   // Logs that this number of objects in an answer were left out.
   void logUnreadable(std::size_t objects);
   void onUnreadable(const wire::WireError& error);
-  void onStoreFailure();
+  // `timedOut`: the call got no answer in time.
+  void onStoreFailure(bool timedOut);
   void catchUp();
   void readHistory();
   void onHistoryRead(const StoreAnswer& answer, wire::ReadConsistency reading);
@@ -163,7 +170,7 @@
   std::uint64_t lastChangeRevision_ = 0;
   // Announced revision for which the store was last read.
   std::uint64_t requestedRevision_ = 0;
-  unsigned consecutiveFailures_ = 0;
+  dispatch::ReadRetry retry_;
   bool isRelay_ = false;
   Activity activity_ = Activity::Following;
   // Whether a change couldn't be applied, so that all objects must be listed.
--- a/libs/entry/include/entry/StoreClient.h
+++ b/libs/entry/include/entry/StoreClient.h
@@ -75,7 +75,8 @@
   // call per interval is enough to find out when it does again; returning true starts the next
   // interval.
   bool mayCall(base::TimePoint now);
-  // Returns whether the last completed call was answered and not refused.
+  // Returns whether the last completed call was answered and not refused. A call that times out
+  // while a later one is answered doesn't count: its connection has gone silent, not the store.
   bool reachable() const { return reachable_; }
   // Returns the time of the last answer to any call.
   base::TimePoint lastAnswerAt() const { return lastAnswerAt_; }
@@ -87,6 +88,9 @@
             std::string body,
             base::Duration timeout,
             Finished finished);
+  // Turns the result of a call that was made at this time into an answer, and records what it tells
+  // about the store.
+  StoreAnswer readResult(ExchangeResult result, base::TimePoint sentAt);
 
   CallClient& calls_;
   dispatch::Endpoint store_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-// Duration of a watch without changes. It bounds the time for which an unresponsive connection
-// hides changes; a shorter one would mean more calls to the store, which are counted.
-constexpr std::chrono::milliseconds kWatchDuration{ 4000 };
 // Delays between a change and the next watch, in which further changes accumulate. While many
 // servers start or stop, their objects change one by one in quick succession.
 constexpr std::chrono::milliseconds kConfigurationSettleDelay{ 150 };
@@ -91,7 +88,7 @@
       log,
       { wire::Kind::Configuration,
         CatchUp::CurrentState,
-        kWatchDuration,
+        MirrorSettings().watchDuration,
         kConfigurationSettleDelay,
         run + 1 },
       [this](const auto& objects) { onConfiguration(objects); },
@@ -100,7 +97,11 @@
       context,
       store_,
       log,
-      { wire::Kind::Servers, CatchUp::History, kWatchDuration, kServersSettleDelay, run + 2 },
+      { wire::Kind::Servers,
+        CatchUp::History,
+        MirrorSettings().watchDuration,
+        kServersSettleDelay,
+        run + 2 },
       [this](const auto& objects) { onServers(objects); },
       [this](const auto& change) { relay(change); })
   , domainsOutMirror_(
@@ -109,7 +110,7 @@
       log,
       { wire::Kind::DomainsOut,
         CatchUp::CurrentState,
-        kWatchDuration,
+        MirrorSettings().watchDuration,
         kConfigurationSettleDelay,
         run + 3 },
       [this](const auto& objects) { onDomainsOut(objects); },
@@ -661,7 +662,7 @@
   message.limitedServers = limitSharing_.nextPage();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
   for (const ObjectMirror* mirror : mirrors_) {
-    message.isRelay = message.isRelay && mirror->isWatching();
+    message.isRelay = message.isRelay && mirror->mayRelay(now);
     message.lastChangeRevisions.push_back(mirror->lastChangeRevision());
   }
   return message;
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Delay before the first retry after a failure. It doubles up to the maximum, and is shortened by a
-// random fraction so that entry VMs don't call at the same time.
-constexpr std::chrono::milliseconds kMinRetryDelay{ 100 };
-constexpr std::chrono::milliseconds kMaxRetryDelay{ 800 };
 // Duration of a watch for changes that are known to exist.
 constexpr std::chrono::milliseconds kCatchUpWatchDuration{ 100 };
 // Delay between a list and the first watch of a VM that doesn't relay: the relaying VM is usually
@@ -46,6 +42,8 @@
   , random_(settings.seed)
   , cursor_(kCursorTrustDelay)
   , relayedCopy_({})
+  , freshness_({})
+  , retry_({})
 {
 }
 
@@ -206,7 +204,7 @@
   logCatchUp(answer);
   if (answer.outcome != StoreOutcome::Done) {
     logUnanswered("list", answer);
-    onStoreFailure();
+    onStoreFailure(answer.timedOut);
     return;
   }
   try {
@@ -285,7 +283,7 @@
   }
   if (answer.outcome != StoreOutcome::Done) {
     logUnanswered("watch", answer);
-    onStoreFailure();
+    onStoreFailure(answer.timedOut);
     return;
   }
   std::vector<wire::WatchEvent> events;
@@ -383,7 +381,7 @@
 
 void ObjectMirror::onStoreReached()
 {
-  consecutiveFailures_ = 0;
+  retry_.onAnswered();
   if (!storeReachable_) {
     storeReachable_ = true;
     log_.write("store_regained", { { "kind", static_cast<int>(settings_.kind) } });
@@ -444,23 +442,21 @@
 void ObjectMirror::onUnreadable(const wire::WireError& error)
 {
   log_.write("store_answer_unreadable", { { "error", error.what() } });
-  onStoreFailure();
+  onStoreFailure(false);
 }
 
 // Lists all objects again after a delay: a store that ends watches may have dropped changes without
 // reporting it.
-void ObjectMirror::onStoreFailure()
+void ObjectMirror::onStoreFailure(bool timedOut)
 {
   if (storeReachable_) {
     storeReachable_ = false;
     log_.write("store_lost", { { "kind", static_cast<int>(settings_.kind) } });
   }
-  const auto delay =
-    std::min(kMaxRetryDelay, kMinRetryDelay * (1 << std::min(consecutiveFailures_, 5U)));
-  ++consecutiveFailures_;
   catchUpBeganAt_.reset();
-  const double fraction = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
-  scheduleList(std::chrono::duration_cast<std::chrono::milliseconds>(delay * fraction));
+  const double random = std::uniform_real_distribution<double>(0, 1)(random_);
+  scheduleList(std::chrono::duration_cast<std::chrono::milliseconds>(
+    retry_.delayAfterFailure(timedOut, random)));
 }
 
 // While the store doesn't answer, one of the mirrors calls it and the others wait. A copy that the
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -123,22 +123,29 @@
   const base::TimePoint sentAt = clockNow();
   calls_.call(std::move(call),
               [this, sentAt, finished = std::move(finished)](ExchangeResult result) {
-                const base::TimePoint now = clockNow();
                 // The store belongs to no failure domain.
                 bytes_.add("store", false, result.bytes);
-                StoreAnswer answer;
-                answer.outcome = outcomeOf(result);
-                answer.body = std::move(result.answer.body());
-                answer.timedOut = result.timedOut;
-                answer.idleClosed = result.idleClosed;
-                answer.elapsed = now - sentAt;
-                answer.connectionAge = result.connectionAge;
-                lastAnswerAt_ = result.end == ExchangeEnd::Answered ? now : lastAnswerAt_;
-                reachable_ = answer.outcome != StoreOutcome::Refused &&
-                             answer.outcome != StoreOutcome::Unknown;
-                counts_.failed += reachable_ ? 0 : 1;
-                finished(std::move(answer));
+                finished(readResult(std::move(result), sentAt));
               });
 }
 
+StoreAnswer StoreClient::readResult(ExchangeResult result, base::TimePoint sentAt)
+{
+  const base::TimePoint now = clockNow();
+  StoreAnswer answer;
+  answer.outcome = outcomeOf(result);
+  answer.body = std::move(result.answer.body());
+  answer.timedOut = result.timedOut;
+  answer.idleClosed = result.idleClosed;
+  answer.elapsed = now - sentAt;
+  answer.connectionAge = result.connectionAge;
+  lastAnswerAt_ = result.end == ExchangeEnd::Answered ? now : lastAnswerAt_;
+  const bool succeeded =
+    answer.outcome != StoreOutcome::Refused && answer.outcome != StoreOutcome::Unknown;
+  const bool onlyConnectionFailed = answer.timedOut && lastAnswerAt_ > sentAt;
+  reachable_ = succeeded || (reachable_ && onlyConnectionFailed);
+  counts_.failed += succeeded ? 0 : 1;
+  return answer;
+}
+
 } // namespace sycamore::entry
--- a/libs/entry/tests/SilentConnectionTest.cpp
+++ b/libs/entry/tests/SilentConnectionTest.cpp
@@ -84,3 +84,18 @@
   CHECK(servedRequests(fixture, 2) == 1);
   CHECK(servedRequests(fixture, 4) == 4);
 }
+
+// Guards against calls that wait for the next probe of a store that answers.
+TEST_CASE("a store that answers a later call isn't taken for unreachable when an earlier times out")
+{
+  asio::io_context context;
+  FakeStore store(context, 10'000'000);
+  store.write(1);
+  ByteCounts bytes;
+  CallClient calls(context, BufferQuota(1024 * 1024));
+  StoreClient client(calls, { "127.0.0.1", store.port() }, bytes);
+  REQUIRE(answeredCalls(context, client, 1) == 1);
+  store.silenceConnections();
+  CHECK(answeredCalls(context, client, 2) == 1);
+  CHECK(client.reachable());
+}
