Leave memory for other callers' answers beside answers without end

A few faulty servers whose answers grow or trickle without end could take all of the memory for answers and hold it until their routes' timeouts; the answers to other callers then failed with 502. BufferQuota now gives no buffer more than is left for all others, so that any number of them leaves room for ordinary answers. One answer alone may take half of the quota where it could take all.

The new test failed without it: the caller of another server got 502 beside fifty answers that held 24 kB each.

--- a/libs/entry/include/entry/BufferQuota.h
+++ b/libs/entry/include/entry/BufferQuota.h
@@ -8,7 +8,9 @@
 
 class BufferReservation;
 
-// Bounds the memory that the buffers of all connections take together. Used by one thread only.
+// Bounds the memory that the buffers of all connections take together. No buffer gets more than is
+// then left for all others: a few that grow without end stop growing while there is room for the
+// rest. Used by one thread only.
 class BufferQuota
 {
 public:
@@ -56,7 +58,8 @@
   BufferReservation& operator=(const BufferReservation&) = delete;
   ~BufferReservation() { clear(); }
 
-  // Adds bytes. Returns false, without a change, if the quota has no room for them.
+  // Adds bytes. Returns false, without a change, if the quota has no room for them or this
+  // reservation would become larger than what is left of the quota.
   bool tryAdd(std::uint64_t bytes)
   {
     if (!used_) {
@@ -65,6 +68,10 @@
     if (bytes > limit_ || *used_ > limit_ - bytes) {
       return false;
     }
+    const std::uint64_t left = limit_ - *used_ - bytes;
+    if (bytes_ + bytes > left) {
+      return false;
+    }
     *used_ += bytes;
     bytes_ += bytes;
     return true;
--- a/libs/entry/tests/EndlessAnswerTest.cpp
+++ b/libs/entry/tests/EndlessAnswerTest.cpp
@@ -105,6 +105,36 @@
   CHECK(memory.used() == 0);
 }
 
+// Guards against answers without end that leave no memory for the answers to other callers.
+TEST_CASE("callers of other servers are served while fifty answers without end hold memory")
+{
+  constexpr std::size_t kHeldBytes = 24000;
+  DispatcherFixture fixture(kMemoryBytes);
+  for (int i = 0; i < 50; ++i) {
+    fixture.addPlainServer([](const std::string& request) {
+      return FakeServer::Reaction{ head(requestIdOf(request), "\r\n") +
+                                     std::string(kHeldBytes, 'x'),
+                                   FakeServer::Reaction::End::KeepOpen,
+                                   "x",
+                                   milliseconds(50) };
+    });
+  }
+  fixture.addKeyedServer([](const std::string& request) {
+    return FakeServer::Reaction{ validAnswer(requestIdOf(request), std::string(15000, 'x')) };
+  });
+  fixture.publish();
+  std::vector<std::shared_ptr<RequestHandler>> handlers;
+  for (int i = 0; i < 50; ++i) {
+    handlers.push_back(
+      fixture.begin(fixture.request("POST", "/order/x", ""), [](const CallerAnswer&) {}));
+  }
+  const BufferQuota& memory = fixture.dispatcher().answerMemory();
+  REQUIRE(fixture.runUntil([&] { return memory.used() > memory.limit() / 10 * 9; }));
+  const auto received = fixture.sendAndAwait("GET", "/keyed/x");
+  REQUIRE(received);
+  CHECK(received->status == 200);
+}
+
 // Guards against a connection that stays busy as long as a server keeps sending.
 TEST_CASE("an answer that trickles ends at the route's timeout")
 {
