Cut off long answers to grants and releases

Answers of servers to the coordinator's calls shared the memory of the store's answers, with up to 64 MB each: a faulty server that sent without end took it within the 300 ms of a grant, and the coordinator's watches and reads failed meanwhile. The body of such an answer isn't used; more than 16 KiB of it ends the call.

--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -35,6 +35,8 @@
   bool needsNewConnection = false;
   // Time that the call may take altogether while bytes of its answer arrive.
   base::Duration maxDuration{};
+  // Bytes that the body of the answer may have.
+  std::uint64_t maxAnswerBytes = kMaxAnswerBytes;
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -14,6 +14,9 @@
 
 namespace sycamore::entry {
 
+// Bytes that the body of an answer may have if no lower limit is set.
+inline constexpr std::uint64_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
 // How an exchange with a server ended.
 enum class ExchangeEnd
 {
@@ -82,6 +85,9 @@
     sendCondition_ = std::move(sendCondition);
   }
 
+  // Sets the bytes that the bodies of answers may have from now on.
+  void setMaxAnswerBytes(std::uint64_t bytes) { maxAnswerBytes_ = bytes; }
+
   // Returns whether the current exchange has begun to send.
   bool sendStarted() const { return sendStarted_; }
 
@@ -127,6 +133,7 @@
   std::size_t receivedBytes_ = 0;
   BufferQuota quota_;
   BufferReservation memory_;
+  std::uint64_t maxAnswerBytes_ = kMaxAnswerBytes;
   unsigned exchanges_ = 0;
   unsigned skippedAnswers_ = 0;
   AnswerReader reader_;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -59,6 +59,7 @@
     bytes += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
   }
   bytes += "\r\n" + call.body;
+  pending->connection->setMaxAnswerBytes(call.maxAnswerBytes);
   pending->connection->setSendCondition(std::move(call.maySend));
   pending->timeout = call.timeout;
   pending->endsAt = now + std::max(call.timeout, call.maxDuration);
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -15,6 +15,8 @@
 constexpr base::Duration kWriteRetryDelay = base::milliseconds(200);
 // Time for connecting to a server that is to release keys, after which another attempt is made.
 constexpr base::Duration kReleaseConnectTimeout = base::milliseconds(1000);
+// Bytes that the body of a server's answer to a grant or a release may have. Only its head counts.
+constexpr std::uint64_t kMaxOrderAnswerBytes = 16UL * 1024;
 // Maximum number of ranges in one line of the log.
 constexpr std::size_t kRangesPerLine = 32;
 
@@ -331,6 +333,7 @@
   call.method = "POST";
   call.path = std::move(path);
   call.headers = wire::serverHeader(server.id);
+  call.maxAnswerBytes = kMaxOrderAnswerBytes;
   call.requestId = std::to_string(self_.run) + "-" + std::to_string(++callsToServers_);
   return call;
 }
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::uint32_t kAnswerHeaderLimit = 64 * 1024;
-constexpr std::uint64_t kAnswerBodyLimit = 64 * 1024 * 1024;
 // Maximum number of interim answers and answers to other requests that one exchange skips. A server
 // that sends more would otherwise keep the connection busy until the caller's deadline.
 constexpr unsigned kMaxSkippedAnswers = 16;
@@ -79,7 +78,7 @@
   sendStarted_ = false;
   requestWritten_ = false;
   isIdentified_ = false;
-  reader_.start(kAnswerHeaderLimit, kAnswerBodyLimit, headOnly_);
+  reader_.start(kAnswerHeaderLimit, maxAnswerBytes_, headOnly_);
   if (isOpen_) {
     send();
   } else {
@@ -222,7 +221,7 @@
     return;
   }
   // Skip an interim answer or a late answer to an earlier request, and read the next one.
-  reader_.start(kAnswerHeaderLimit, kAnswerBodyLimit, headOnly_);
+  reader_.start(kAnswerHeaderLimit, maxAnswerBytes_, headOnly_);
   if (in_.empty()) {
     read();
   } else {
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -100,6 +100,7 @@
   const dispatch::KeyCoordinator& coordinator() const { return *role_.coordinator(); }
 
   asio::io_context& context() { return context_; }
+  const ByteCounts& bytes() const { return bytes_; }
   dispatch::KeyCoordinator& coordinator() { return *role_.coordinator(); }
 
   // Runs the role until the condition holds, for 3 s at most.
@@ -147,6 +148,17 @@
   return record;
 }
 
+// Returns a server of the keyed service that listens on this port.
+dispatch::BackendServer serverAt(std::uint16_t port, const base::ServiceId& service)
+{
+  dispatch::BackendServer server;
+  server.id = base::ServerId("s0");
+  server.born = 1;
+  server.service = service;
+  server.address = "127.0.0.1:" + std::to_string(port);
+  return server;
+}
+
 bool waitsForOthers(const Role& role)
 {
   const base::TimePoint now = clockNow();
@@ -212,11 +224,7 @@
     return FakeServer::Reaction{ validAnswer(requestIdOf(request), "") };
   });
   const base::ServiceId service("layout");
-  dispatch::BackendServer registered;
-  registered.id = base::ServerId("s0");
-  registered.born = 1;
-  registered.service = service;
-  registered.address = "127.0.0.1:" + std::to_string(server.port());
+  dispatch::BackendServer registered = serverAt(server.port(), service);
   dispatch::OwnershipRecord record = recordOf(role.self());
   record.services[service] = { { 0, 1000, registered.id, 1, 3 },
                                { 1001, dispatch::kLastKey, registered.id, 1, 3 } };
@@ -235,3 +243,26 @@
   CHECK(ids.size() == server.requests().size());
   CHECK(server.accepted() > acceptedBefore);
 }
+
+// Guards against a faulty server that fills the memory for the answers of the store.
+TEST_CASE("an answer without end to a grant is cut off after some kilobytes")
+{
+  constexpr std::uint64_t kEnough = 200 * 1024;
+  Role role;
+  FakeServer server(role.context(), [](const std::string&) {
+    return FakeServer::Reaction{ "HTTP/1.1 200 OK\r\n\r\n",
+                                 FakeServer::Reaction::End::KeepOpen,
+                                 std::string(4096, 'x') };
+  });
+  const base::ServiceId service("layout");
+  const dispatch::BackendServer registered = serverAt(server.port(), service);
+  dispatch::OwnershipRecord record = recordOf(role.self());
+  record.services[service] = { { 0, dispatch::kLastKey, registered.id, 1, 3 } };
+  role.store().setRecord(record);
+  REQUIRE(role.tryTakeover());
+  role.coordinator().setServices({ { service, { 120, 10, true } } });
+  role.coordinator().setServers({ { registered.id, registered } }, clockNow());
+  role.runUntil([&] { return server.ended() > 0; });
+  REQUIRE(server.ended() == 1);
+  CHECK(role.bytes().byKind().at("grant").otherDomain < kEnough);
+}
