Bound the platform's answers of all calls in progress together

Each call of sycamored to the platform could keep 256 MB, and the pool allows sixteen and more at once. The limit now holds for all calls in progress together.

The new test failed without it: two calls kept 3 MB each within a limit of 4 MB.

--- a/libs/platform/src/HttplibTransport.cpp
+++ b/libs/platform/src/HttplibTransport.cpp
@@ -1,7 +1,8 @@
 #include <platform/HttplibTransport.h>
 
+#include <transport/BoundedHttpClient.h>
+
 #include <algorithm>
-#include <httplib.h>
 #include <mutex>
 #include <vector>
 
@@ -12,9 +13,6 @@
 // Maximum number of pooled idle connections; further connections are closed after their call.
 constexpr std::size_t kMaxIdleConnections = 16;
 
-// Allows for a list of many objects of a megabyte each; a longer answer is invalid.
-constexpr std::size_t kMaxAnswerBytes = 256UL << 20;
-
 // A connection attempt to a lost host gets no answer at all and must not use up a long deadline.
 constexpr base::Duration kMaxConnectTimeout = std::chrono::seconds(1);
 
@@ -31,6 +29,32 @@
 
 } // namespace
 
+// Counts the bytes of one answer among those of all calls in progress.
+class HttplibTransport::BufferedBytes
+{
+public:
+  BufferedBytes(std::atomic<std::size_t>& total, std::size_t limit)
+    : total_(total)
+    , limit_(limit)
+  {
+  }
+  ~BufferedBytes() { total_ -= own_; }
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+
+  // Returns whether there is room for these further bytes.
+  bool tryAdd(std::size_t bytes)
+  {
+    own_ += bytes;
+    return total_.fetch_add(bytes) + bytes <= limit_;
+  }
+
+private:
+  std::atomic<std::size_t>& total_;
+  const std::size_t limit_;
+  std::size_t own_ = 0;
+};
+
 // Idle connections, the most recently used one last.
 class HttplibTransport::Pool
 {
@@ -44,7 +68,7 @@
     }
   }
 
-  std::unique_ptr<httplib::Client> acquire()
+  std::unique_ptr<transport::BoundedHttpClient> acquire()
   {
     {
       const std::lock_guard lock(mutex_);
@@ -54,13 +78,13 @@
         return client;
       }
     }
-    auto client = std::make_unique<httplib::Client>(host_, port_);
+    auto client = std::make_unique<transport::BoundedHttpClient>(host_, port_);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     return client;
   }
 
-  void release(std::unique_ptr<httplib::Client> client)
+  void release(std::unique_ptr<transport::BoundedHttpClient> client)
   {
     const std::lock_guard lock(mutex_);
     if (idle_.size() < kMaxIdleConnections) {
@@ -78,12 +102,15 @@
   std::string host_;
   int port_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<httplib::Client>> idle_;
+  std::vector<std::unique_ptr<transport::BoundedHttpClient>> idle_;
 };
 
-HttplibTransport::HttplibTransport(std::string address, BlockCheck blockCheck)
+HttplibTransport::HttplibTransport(std::string address,
+                                   BlockCheck blockCheck,
+                                   std::size_t maxBufferedBytes)
   : address_(std::move(address))
   , blockCheck_(std::move(blockCheck))
+  , maxBufferedBytes_(maxBufferedBytes)
   , pool_(std::make_unique<Pool>(address_))
 {
 }
@@ -105,8 +132,7 @@
   }
   auto client = pool_->acquire();
   client->set_connection_timeout(std::min(remaining, kMaxConnectTimeout));
-  client->set_read_timeout(remaining);
-  client->set_write_timeout(remaining);
+  client->setTimeouts(deadline, remaining);
 
   HttpReply reply;
   httplib::Request request;
@@ -116,24 +142,25 @@
   if (!call.body.empty()) {
     request.set_header("Content-Type", "application/json");
   }
-  // The read timeout of cpp-httplib applies to each read only, so the deadline is checked per
-  // chunk.
+  BufferedBytes buffered(bufferedBytes_, maxBufferedBytes_);
+  // The timeout applies to each read of the body only, so the deadline is checked per chunk.
   request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
     reply.body.append(data, size);
-    return reply.body.size() <= kMaxAnswerBytes && now() < deadline;
+    return buffered.tryAdd(size) && now() < deadline;
   };
-  const httplib::Result result = client->send(request);
-  if (!result) {
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  if (!client->sendBounded(request, response, error)) {
     // All pooled connections can become unresponsive at once while new ones work.
     pool_->clear();
-    throw TransportError("no answer from the platform: " + httplib::to_string(result.error()),
-                         !failedBeforeSending(result.error()));
+    throw TransportError("no answer from the platform: " + httplib::to_string(error),
+                         !failedBeforeSending(error));
   }
   if (isBlocked()) {
     throw TransportError("the answer of the platform was dropped because its address is blocked",
                          true);
   }
-  reply.status = result->status;
+  reply.status = response.status;
   pool_->release(std::move(client));
   return reply;
 }
--- a/libs/platform/tests/HttplibTransportTest.cpp
+++ b/libs/platform/tests/HttplibTransportTest.cpp
@@ -103,6 +103,50 @@
   CHECK_FALSE(client.get("config", "a", in(5s)).has_value());
 }
 
+// Guards against memory that fills up by several long answers, each of which is within the limit.
+TEST_CASE("the answers of all calls in progress share one limit of memory")
+{
+  constexpr std::size_t kLimit = 4UL << 20;
+  const std::string part(3UL << 20, 'x');
+  std::atomic<int> begun{ 0 };
+  std::atomic<int> failed{ 0 };
+  test_http::StubHttpServer server{ 50 };
+  server.Get("/long", [&](const httplib::Request&, httplib::Response& response) {
+    response.set_chunked_content_provider("text/plain",
+                                          [&](std::size_t offset, httplib::DataSink& sink) {
+                                            if (offset == 0) {
+                                              ++begun;
+                                              return sink.write(part.data(), part.size());
+                                            }
+                                            // Holds the answers in progress until one of them has failed.
+        test_process::waitUntil([&] { return failed >= 1; }, 2s);
+        sink.done();
+                                            return true;
+                                          });
+  });
+  const std::string address = "127.0.0.1:" + std::to_string(server.bind(0));
+  std::thread serving([&] { server.serve(); });
+  REQUIRE(test_process::waitUntil([&] { return server.is_running(); }, 5s));
+  HttplibTransport transport(address, nullptr, kLimit);
+  const auto call = [&] {
+    try {
+      transport.exchange({ "GET", "/long", "" }, in(5s));
+    } catch (const TransportError&) {
+      ++failed;
+    }
+  };
+  std::thread first(call);
+  std::thread second(call);
+  first.join();
+  second.join();
+  CHECK(begun == 2);
+  CHECK(failed >= 1);
+  // What failed holds no memory any more.
+  CHECK_NOTHROW(transport.exchange({ "GET", "/long", "" }, in(5s)));
+  server.stopServing();
+  serving.join();
+}
+
 // Guards against a simulated partition that blocks calls but not answers.
 TEST_CASE_FIXTURE(Fixture,
                   "calls to a blocked address are not sent and answers from it are dropped")
