Let connections go silent in the ownership run, and check the configuration

Connections that are open go silent for good at times drawn by the seed, in series, to the store more often than to servers. The draws are apart from those of the other faults (--silence_interval 0 leaves them out). Only faults are drawn that leave the store reachable.

--- a/libs/platform/tests/HttplibTransportTest.cpp
+++ b/libs/platform/tests/HttplibTransportTest.cpp
@@ -112,17 +112,17 @@
   std::atomic<int> failed{ 0 };
   test_http::StubHttpServer server{ 50 };
   server.Get("/long", [&](const httplib::Request&, httplib::Response& response) {
-    response.set_chunked_content_provider("text/plain",
-                                          [&](std::size_t offset, httplib::DataSink& sink) {
-                                            if (offset == 0) {
-                                              ++begun;
-                                              return sink.write(part.data(), part.size());
-                                            }
-                                            // Holds the answers in progress until one of them has failed.
+    response.set_chunked_content_provider(
+      "text/plain", [&](std::size_t offset, httplib::DataSink& sink) {
+        if (offset == 0) {
+          ++begun;
+          return sink.write(part.data(), part.size());
+        }
+        // Holds the answers in progress until one of them has failed.
         test_process::waitUntil([&] { return failed >= 1; }, 2s);
         sink.done();
-                                            return true;
-                                          });
+        return true;
+      });
   });
   const std::string address = "127.0.0.1:" + std::to_string(server.bind(0));
   std::thread serving([&] { server.serve(); });
--- a/tests/entry/FaultProxy.cpp
+++ b/tests/entry/FaultProxy.cpp
@@ -59,10 +59,12 @@
   std::shared_ptr<review::Channel> upstream;
   // Bytes that are sent when the next call arrives, also if it gets no answer of its own.
   std::string early;
+  std::atomic<bool> isSilent{ false };
 };
 
 FaultProxy::FaultProxy(std::uint64_t seed)
   : random_(seed)
+  , silenceRandom_(~seed)
 {
 }
 
@@ -103,6 +105,20 @@
   rules_.push_back(std::move(rule));
 }
 
+int FaultProxy::silenceConnections(int address, double share)
+{
+  const std::lock_guard lock(mutex_);
+  int count = 0;
+  for (Connection* connection : connections_) {
+    const bool isMeant = address < 0 ? !connection->address.isStore : connection->number == address;
+    if (isMeant && std::uniform_real_distribution<>(0, 1)(silenceRandom_) < share) {
+      connection->isSilent = true;
+      ++count;
+    }
+  }
+  return count;
+}
+
 std::map<CallFault, int> FaultProxy::applied()
 {
   const std::lock_guard lock(mutex_);
@@ -145,15 +161,27 @@
 void FaultProxy::serve(Address& address, int number, review::Channel& channel)
 {
   Connection connection{ address, number, channel, peerOf(channel), nullptr, "" };
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.insert(&connection);
+  }
   review::Message request;
   while (!stopped_ && channel.read(request) && pass(connection, request)) {
   }
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.erase(&connection);
+  }
   channel.reset();
 }
 
 bool FaultProxy::pass(Connection& connection, const review::Message& request)
 {
   const Nanoseconds sentAt = steadyNow();
+  if (connection.isSilent) {
+    awaitLeave(connection.channel);
+    return false;
+  }
   if (!connection.early.empty() && !connection.channel.write(std::exchange(connection.early, ""))) {
     return false;
   }
@@ -224,7 +252,7 @@
         break;
     }
   }
-  if (isCut(connection.vm, connection.number, kind)) {
+  if (connection.isSilent || isCut(connection.vm, connection.number, kind)) {
     awaitLeave(connection.channel);
     return false;
   }
--- a/tests/entry/FaultProxy.h
+++ b/tests/entry/FaultProxy.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace sycamore::soak {
 
@@ -81,6 +82,10 @@
 
   void add(FaultRule rule);
 
+  // Lets this share of the open connections to an address, or to all servers if it is -1, go silent
+  // for good. New ones work. Returns their number.
+  int silenceConnections(int address, double share);
+
   // Number of calls to which each fault was applied.
   std::map<CallFault, int> applied();
 
@@ -113,8 +118,11 @@
 
   std::mutex mutex_;
   std::mt19937_64 random_;
+  // Apart from the draws for calls, so that those don't depend on it.
+  std::mt19937_64 silenceRandom_;
   std::vector<FaultRule> rules_;
   std::map<CallFault, int> applied_;
+  std::set<Connection*> connections_;
   std::atomic<bool> stopped_{ false };
   std::vector<std::unique_ptr<Address>> addresses_;
 };
--- a/tests/entry/FaultSchedule.cpp
+++ b/tests/entry/FaultSchedule.cpp
@@ -29,7 +29,8 @@
                              FaultProxy& proxy,
                              int storeAddress,
                              VmSides& sides,
-                             review::Record& record)
+                             review::Record& record,
+                             FaultSet set)
   : random_(seed)
   , deployment_(deployment)
   , fleet_(fleet)
@@ -40,9 +41,14 @@
   , meanInterval_(uniform(0.2, 1))
   , maxAtOnce_(static_cast<std::size_t>(uniform(2, 8)))
 {
-  addCallFaults();
-  addProcessFaults();
-  addCoordinatorFaults();
+  if (set == FaultSet::All) {
+    addCallFaults();
+    addProcessFaults();
+    addCoordinatorFaults();
+  } else {
+    addProcessFaults();
+    addCutFromStore();
+  }
   for (std::size_t i = 0; i < kFrequentFaults; ++i) {
     frequent_.push_back(std::uniform_int_distribution<std::size_t>(0, faults_.size() - 1)(random_));
   }
@@ -101,7 +107,7 @@
                          endAfter(uniform(kMinPause, kMaxPause), [this, &vm] {
                            resumptions_[vm.ip].push_back(steadyNow());
                            vm.signal(SIGCONT);
-                           disturbedVms_.erase(vm.ip);
+                           endDisturbance(vm.ip);
                          });
                        });
                      } });
@@ -146,10 +152,15 @@
   faults_.push_back({ "evacuation", [this] { evacuateDomain(); } });
 }
 
-void FaultSchedule::addCoordinatorFaults()
+void FaultSchedule::addCutFromStore()
 {
   faults_.push_back(
     { "coordinator without store", [this] { cutFromStore(coordinator(), uniform(1, 12)); } });
+}
+
+void FaultSchedule::addCoordinatorFaults()
+{
+  addCutFromStore();
   faults_.push_back({ "coordinator without servers", [this] { cutFromServers(); } });
   faults_.push_back(
     { "coordinator without VMs", [this] { cutFromVms(coordinator(), uniform(1, 10)); } });
@@ -244,6 +255,7 @@
   if (!candidates.empty()) {
     review::EntryVm& vm = *pick(candidates);
     disturbedVms_.insert(vm.ip);
+    disturbedSince_[vm.ip] = steadyNow();
     fault(vm);
   }
 }
@@ -253,10 +265,25 @@
   vm.kill();
   endAfter(downFor, [this, &vm] {
     vm.start();
-    disturbedVms_.erase(vm.ip);
+    endDisturbance(vm.ip);
   });
 }
 
+void FaultSchedule::endDisturbance(const std::string& vmAddress)
+{
+  disturbedVms_.erase(vmAddress);
+  pastDisturbances_[vmAddress].emplace_back(disturbedSince_[vmAddress], steadyNow());
+}
+
+Disturbances FaultSchedule::disturbances() const
+{
+  Disturbances result = pastDisturbances_;
+  for (const std::string& vm : disturbedVms_) {
+    result[vm].emplace_back(disturbedSince_.at(vm), steadyNow());
+  }
+  return result;
+}
+
 void FaultSchedule::disturbServer(const std::function<void(ServerLife&)>& fault)
 {
   const std::vector<ServerLife*> candidates = fleet_.ordinary();
@@ -383,6 +410,8 @@
 
 void FaultSchedule::cutFromStore(const std::string& vm, double time)
 {
+  const Nanoseconds now = steadyNow();
+  pastDisturbances_[vm].emplace_back(now, now + seconds(time));
   addRule({ CallFault::DropCall, kStoreCalls, vm, storeAddress_ }, time);
 }
 
--- a/tests/entry/FaultSchedule.h
+++ b/tests/entry/FaultSchedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallFaults.h"
+#include "ConfigurationCheck.h"
 #include "OwnershipCheck.h"
 #include "ServerFleet.h"
 #include "VmSides.h"
@@ -11,6 +12,15 @@
 
 namespace sycamore::soak {
 
+// Which faults are drawn.
+enum class FaultSet
+{
+  All,
+  // Those that don't excuse other VMs from following the store: no calls are disturbed, and only
+  // the coordinator is cut off from the store.
+  StoreReachable
+};
+
 // Draws faults by a seed, several at a time, and ends each after its time. Used by the main thread
 // only, because it starts processes.
 class FaultSchedule
@@ -22,7 +32,8 @@
                 FaultProxy& proxy,
                 int storeAddress,
                 VmSides& sides,
-                review::Record& record);
+                review::Record& record,
+                FaultSet set);
 
   // Draws the fault of this name as often as all those together that this run draws more of.
   void drawMore(const std::string& name);
@@ -32,6 +43,8 @@
 
   bool isDisturbed(const std::string& vmAddress) const { return disturbedVms_.contains(vmAddress); }
   const Resumptions& resumptions() const { return resumptions_; }
+  // Disturbances that have ended, and those in progress as if they ended now.
+  Disturbances disturbances() const;
   // Number of faults of each kind.
   const std::map<std::string, int>& begun() const { return begun_; }
 
@@ -50,11 +63,13 @@
   void addCallFaults();
   void addProcessFaults();
   void addCoordinatorFaults();
+  void addCutFromStore();
   std::size_t indexOf(const std::string& name) const;
   void begin();
 
   void disturbCalls(const CallFaults& kind, int address);
   void disturbVm(const std::function<void(review::EntryVm&)>& fault);
+  void endDisturbance(const std::string& vmAddress);
   void restartVm(review::EntryVm& vm, double downFor);
   void disturbServer(const std::function<void(ServerLife&)>& fault);
   void startElsewhere(ServerLife& life);
@@ -99,6 +114,9 @@
   Nanoseconds lastEnd_ = 0;
   std::vector<Nanoseconds> faultEnds_;
   std::set<std::string> disturbedVms_;
+  // Times at which the disturbances in progress began.
+  std::map<std::string, Nanoseconds> disturbedSince_;
+  Disturbances pastDisturbances_;
   Resumptions resumptions_;
   std::map<std::string, int> begun_;
 };
--- a/tests/entry/OwnershipRun.cpp
+++ b/tests/entry/OwnershipRun.cpp
@@ -1,9 +1,11 @@
 // Runs real entry VMs against stand-ins of the store and of servers with faults drawn by a seed,
-// and checks by the servers' journals that no key has two owners.
+// and checks by the servers' journals that no key has two owners, or by the VMs' answers that no
+// change of the configuration is in force late.
 
 #include "FaultSchedule.h"
 #include "KeyServer.h"
 #include "KeyedLoad.h"
+#include "SilenceSchedule.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -13,6 +15,11 @@
 ABSL_FLAG(int, vms, 12, "number of entry VMs");
 ABSL_FLAG(int, servers, 8, "number of servers at the start");
 ABSL_FLAG(std::string, more, "", "fault that the run draws more than others");
+ABSL_FLAG(double, silence_interval, 3, "mean interval between silences of connections, 0 for none");
+ABSL_FLAG(bool,
+          configuration,
+          false,
+          "change the configuration and check it, with faults that let the VMs reach the store");
 ABSL_FLAG(std::string, program, ENTRY_PROGRAM, "program of the entry VMs");
 ABSL_FLAG(bool, keep, false, "keep the logs of a run that broke no rule, too");
 
@@ -91,27 +98,48 @@
     if (!deployment_.awaitService(kServiceTimeout) || !awaitOwners()) {
       throw std::runtime_error("the keys have no owners, logs: " + folder_.path());
     }
-    FaultSchedule schedule(seed_, deployment_, fleet_, proxy_, storeAddress_, sides_, record_);
+    const bool checksConfiguration = absl::GetFlag(FLAGS_configuration);
+    FaultSchedule schedule(seed_,
+                           deployment_,
+                           fleet_,
+                           proxy_,
+                           storeAddress_,
+                           sides_,
+                           record_,
+                           checksConfiguration ? FaultSet::StoreReachable : FaultSet::All);
+    SilenceSchedule silence(seed_, proxy_, storeAddress_, absl::GetFlag(FLAGS_silence_interval));
     schedule.drawMore(absl::GetFlag(FLAGS_more));
     const Nanoseconds beganAt = steadyNow();
     std::set<std::string> endedVms;
     double longestStall = 0;
     int served = 0;
     int failed = 0;
+    std::vector<std::string> lateChanges;
     {
       KeyedLoad load(deployment_, seed_, kCallers);
+      std::optional<ConfigurationCheck> configuration;
+      if (checksConfiguration) {
+        configuration.emplace(deployment_, seed_);
+      }
       while (steadyNow() < beganAt + seconds(time)) {
         const Nanoseconds before = steadyNow();
         review::sleepFor(kTick);
         longestStall =
           std::max(longestStall, static_cast<double>(steadyNow() - before) / kSecond - kTick);
         schedule.tick();
+        silence.tick();
         for (const auto& vm : deployment_.vms()) {
           if (!schedule.isDisturbed(vm->ip) && vm->hasEnded()) {
             endedVms.insert(vm->name);
           }
         }
       }
+      if (configuration) {
+        configuration->stop();
+        lateChanges = configuration->violations(schedule.disturbances(), silence.silences());
+        std::cout << "configuration: " << configuration->changes() << " changes, "
+                  << configuration->questions() << " questions\n";
+      }
       for (const auto& vm : deployment_.vms()) {
         vm->kill();
       }
@@ -131,7 +159,10 @@
     for (const std::string& vm : endedVms) {
       report.violations.push_back("the process of " + vm + " has ended by itself");
     }
+    report.violations.insert(report.violations.end(), lateChanges.begin(), lateChanges.end());
     print(report, schedule);
+    std::cout << "  silences: " << silence.silences().size() << ", connections "
+              << silence.connections() << "\n";
     std::cout << "  served " << served << ", failed " << failed << ", longest stall of the run "
               << static_cast<int>(longestStall * 1000) << " ms\n";
     return report.violations.empty();
@@ -224,7 +255,9 @@
   const std::string more = absl::GetFlag(FLAGS_more);
   std::cout << "  logs: " << folder << "\n  again: scripts/ownership-run.sh --seed " << seed
             << " --seconds " << time << " --vms " << absl::GetFlag(FLAGS_vms)
-            << (more.empty() ? "" : " --more \"" + more + "\"") << "\n";
+            << (more.empty() ? "" : " --more \"" + more + "\"") << " --silence_interval "
+            << absl::GetFlag(FLAGS_silence_interval)
+            << (absl::GetFlag(FLAGS_configuration) ? " --configuration" : "") << "\n";
   return held ? 0 : 1;
 }
 
