--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -9,6 +9,7 @@
 #include <entry/ObjectMirror.h>
 #include <entry/PeerLink.h>
 #include <entry/SteadyTime.h>
+#include <entry/VmRegistry.h>
 
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
@@ -70,11 +71,7 @@
   ControlStatus status() const;
 
 private:
-  void registerSelf(std::uint64_t revision);
-  void onRegistered(const StoreAnswer& answer);
-  dispatch::EntryVmRecord ownRecord() const;
-  // Reads the page of registered entry VMs that starts after this name, and the pages that follow.
-  void listPeers(const std::string& after = "");
+  void onVmRegistered(const base::VmId& vm, const dispatch::EntryVmRecord& record);
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
   void onDomainsOut(const ObjectMirror::Objects& objects);
@@ -128,13 +125,13 @@
   std::array<ObjectMirror*, 3> mirrors_;
   dispatch::OwnershipCopy ownership_;
   asio::steady_timer tickTimer_;
-  asio::steady_timer registerTimer_;
   dispatch::RoutingView view_;
   // Revision of the store's object from which each server was last decoded, by name.
   std::map<std::string, std::uint64_t> serverRevisions_;
   dispatch::LeavingServers leavingServers_;
   dispatch::FormerServers formerServers_;
   dispatch::PeerTable peerTable_;
+  VmRegistry vmRegistry_;
   // Measurements for the next report to the coordinator.
   TrafficReport pendingReport_;
   std::vector<ConnectionBreak> pendingConnectionBreaks_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -24,7 +24,6 @@
 // which on others are.
 constexpr unsigned kWatchfulSuccessors = 8;
 constexpr std::size_t kMinVmsWithStandby = 24;
-constexpr std::chrono::milliseconds kRegisterRetryDelay{ 1000 };
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
 constexpr std::uint64_t kControlMemoryShare = 4;
@@ -118,8 +117,18 @@
   , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
   , ownership_({}, clockNow())
   , tickTimer_(context)
-  , registerTimer_(context)
   , peerTable_({})
+  , vmRegistry_(
+      context,
+      store_,
+      log,
+      settings.vm,
+      { settings.ip, settings.domain, settings.capacity },
+      // A new coordinator needs the addresses of all entry VMs. The others only need to know how
+      // many share the limits, until the coordinator tells them.
+      [this] { return coordinatorRole_.active(); },
+      [this](const auto& vm, const auto& record) { onVmRegistered(vm, record); },
+      [this] { setEntryVms(std::max(view_.entryVms, peerTable_.vmsSharingLimits(clockNow()))); })
 {
 }
 
@@ -128,10 +137,17 @@
   for (ObjectMirror* mirror : mirrors_) {
     mirror->start();
   }
-  registerSelf(0);
+  vmRegistry_.start();
   tick();
 }
 
+void EntryControl::onVmRegistered(const base::VmId& vm, const dispatch::EntryVmRecord& record)
+{
+  if (vm != settings_.vm) {
+    peerTable_.onRegistered(vm, record, clockNow());
+  }
+}
+
 void EntryControl::recordTraffic(TrafficReport report)
 {
   loadSharing_.reportUse(report.use);
@@ -201,78 +217,6 @@
   nextHeartbeatAt_ = {};
 }
 
-// Registers this VM in the store, where the other entry VMs find it. The registration of an earlier
-// VM of the same name is replaced.
-void EntryControl::registerSelf(std::uint64_t revision)
-{
-  store_.write(wire::Kind::EntryVms,
-               settings_.vm.value(),
-               revision,
-               dispatch::writeEntryVmRecord(ownRecord()),
-               [this](const StoreAnswer& answer) { onRegistered(answer); });
-}
-
-dispatch::EntryVmRecord EntryControl::ownRecord() const
-{
-  return { settings_.ip, settings_.domain, settings_.capacity };
-}
-
-void EntryControl::onRegistered(const StoreAnswer& answer)
-{
-  if (answer.outcome == StoreOutcome::Done) {
-    listPeers();
-    return;
-  }
-  if (answer.outcome == StoreOutcome::Conflict) {
-    try {
-      const wire::StoreObject object = wire::readObject(answer.body);
-      if (wire::ownContent(object) == dispatch::writeEntryVmRecord(ownRecord())) {
-        listPeers();
-      } else {
-        registerSelf(object.revision);
-      }
-      return;
-    } catch (const wire::WireError& error) {
-      log_.write("store_answer_unreadable", { { "error", error.what() } });
-    }
-  }
-  registerTimer_.expires_after(kRegisterRetryDelay);
-  registerTimer_.async_wait([this](const error_code& error) {
-    if (!error) {
-      registerSelf(0);
-    }
-  });
-}
-
-// A new coordinator needs the addresses of all entry VMs. Every VM needs to know how many VMs share
-// the limits, until the coordinator tells it; for that, an outdated list is good enough.
-void EntryControl::listPeers(const std::string& after)
-{
-  const auto reading = coordinatorRole_.active() ? wire::ReadConsistency::Current
-                                                 : wire::ReadConsistency::StaleAllowed;
-  store_.list(wire::Kind::EntryVms, after, reading, [this](const StoreAnswer& answer) {
-    if (answer.outcome != StoreOutcome::Done) {
-      return;
-    }
-    try {
-      const wire::ListPage page = wire::readList(answer.body);
-      for (const wire::StoreObject& object : page.items) {
-        const base::VmId vm(object.name);
-        if (vm != settings_.vm) {
-          peerTable_.onRegistered(
-            vm, dispatch::readEntryVmRecord(wire::ownContent(object)), clockNow());
-        }
-      }
-      setEntryVms(std::max(view_.entryVms, peerTable_.vmsSharingLimits(clockNow())));
-      if (page.hasMore && !page.items.empty()) {
-        listPeers(page.items.back().name);
-      }
-    } catch (const std::exception& error) {
-      log_.write("store_answer_unreadable", { { "error", error.what() } });
-    }
-  });
-}
-
 void EntryControl::onConfiguration(const ObjectMirror::Objects& objects)
 {
   const auto found = objects.find(wire::kConfigurationName);
@@ -621,7 +565,7 @@
   if (peersListedEpoch_ != coordinatorRole_.coordinator()->record().epoch) {
     peersListedEpoch_ = coordinatorRole_.coordinator()->record().epoch;
     coordinatorSince_ = now;
-    listPeers();
+    vmRegistry_.list();
   }
   const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
   beginHandoverIfWorthwhile(order, now);
