Read the list of entry VMs again if the first call got no answer

If that call fell on a silent connection, it didn't learn of VMs that don't report to it, until the next takeover. While a VM coordinates, the list is now read again 200 ms after a failure.

--- a/libs/entry/include/entry/VmRegistry.h
+++ b/libs/entry/include/entry/VmRegistry.h
@@ -20,7 +20,8 @@
   using VmListener = std::function<void(const base::VmId&, const dispatch::EntryVmRecord&)>;
   // Notified when a page of registered VMs has been read.
   using PageListener = std::function<void()>;
-  // Returns whether a list must show the current state; otherwise, an outdated one is good enough.
+  // Returns whether a list must show the current state, and be repeated until it does. Otherwise an
+  // outdated one is good enough.
   using MustBeCurrent = std::function<bool()>;
 
   VmRegistry(asio::io_context& context,
@@ -45,6 +46,7 @@
   // Reads the page of registered VMs that starts after this name, and the pages that follow.
   void listFrom(const std::string& after);
   void onPage(const StoreAnswer& answer);
+  void retryList();
 
   StoreClient& store_;
   EventLog& log_;
@@ -54,6 +56,7 @@
   VmListener vmListener_;
   PageListener pageListener_;
   asio::steady_timer registerTimer_;
+  asio::steady_timer listTimer_;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/src/VmRegistry.cpp
+++ b/libs/entry/src/VmRegistry.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRegisterRetryDelay{ 1000 };
+constexpr std::chrono::milliseconds kListRetryDelay{ 200 };
 
 } // namespace
 
@@ -28,6 +29,7 @@
   , vmListener_(std::move(vmListener))
   , pageListener_(std::move(pageListener))
   , registerTimer_(context)
+  , listTimer_(context)
 {
 }
 
@@ -78,6 +80,7 @@
 void VmRegistry::onPage(const StoreAnswer& answer)
 {
   if (answer.outcome != StoreOutcome::Done) {
+    retryList();
     return;
   }
   try {
@@ -94,4 +97,14 @@
   }
 }
 
+void VmRegistry::retryList()
+{
+  listTimer_.expires_after(kListRetryDelay);
+  listTimer_.async_wait([this](const error_code& error) {
+    if (!error && mustBeCurrent_()) {
+      list();
+    }
+  });
+}
+
 } // namespace sycamore::entry
