Log writes of the shard map without an answer, and shards withheld after them

In the trace of the loss test nothing told a write of the shard map whose outcome isn't known from one that was never sent, nor an eviction that withholds shards for it from one that doesn't. Both now have a line.

--- a/libs/control/src/MapController.cpp
+++ b/libs/control/src/MapController.cpp
@@ -556,6 +556,9 @@
     return;
   }
   // The outcome of the write is unknown: it may have taken effect. Read the map to find out.
+  context_.log("no answer to the write of generation " +
+               std::to_string(written->generation().value()) + " of the shard map of " +
+               service.value());
   ++context_.counters.platformFailures;
   readBack(state, false);
 }
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -42,6 +42,13 @@
   return text == "draining" ? admission::ReportedState::Draining : admission::ReportedState::Warm;
 }
 
+std::string describeWithheld(const ownership::ShardSet& withheld)
+{
+  return withheld.empty()
+           ? ""
+           : " except " + withheld.text() + ", which a write of unknown outcome may have moved";
+}
+
 // Returns the longest deadline of the service's methods. After this time no request that a previous
 // holder sent is still running.
 base::Duration longestDeadline(const configuration::ServiceConfig& config)
@@ -419,7 +426,8 @@
 {
   ++context_.counters.evictions;
   context_.log("evicted " + managed.server.value() + " in term " +
-               std::to_string(action.term.value()) + ", its successors serve its shards");
+               std::to_string(action.term.value()) + ", its successors serve its shards" +
+               describeWithheld(managed.lease.withheldShards()));
   if (managed.incarnation) {
     reportCrash(managed, *managed.incarnation);
   }
--- a/libs/ownership/include/ownership/ServerLease.h
+++ b/libs/ownership/include/ownership/ServerLease.h
@@ -82,6 +82,8 @@
   base::Term term() const { return term_; }
   const ServerRow& row() const { return row_; }
   const std::optional<MapChange>& change() const { return change_; }
+  // Shards that no permit names, since the write that moves them may have taken effect.
+  const ShardSet& withheldShards() const { return withheldShards_; }
   base::TimePoint nextTickAt() const { return nextTickAt_; }
 
 private:
