Keep the announced number of entry VMs when the coordinator changes

Each VM divides what a cold server may get by the number of entry VMs that the coordinator announces. A new coordinator counts only the VMs that it has listed or that have reported to it.

A VM that takes over now counts at least as many as the last announcement that it has received, for the minute for which a silent VM counts.

--- a/libs/dispatch/include/dispatch/PeerTable.h
+++ b/libs/dispatch/include/dispatch/PeerTable.h
@@ -39,6 +39,10 @@
                 bool leaving,
                 base::TimePoint now);
 
+  // The coordinator has announced how many VMs share limits. A VM that takes over its role knows
+  // fewer of them at first, since VMs report to the coordinator only.
+  void onSharersAnnounced(std::size_t vms, base::TimePoint now);
+
   const std::map<base::VmId, FanoutPeer>& peers() const { return peers_; }
   // Returns all VMs in the form that planFanout() takes.
   std::vector<FanoutPeer> receivers() const;
@@ -55,6 +59,8 @@
 private:
   PeerTableSettings settings_;
   std::map<base::VmId, FanoutPeer> peers_;
+  std::size_t announcedSharers_ = 0;
+  base::TimePoint announcedUntil_{};
 };
 
 } // namespace sycamore::dispatch
--- a/libs/dispatch/src/PeerTable.cpp
+++ b/libs/dispatch/src/PeerTable.cpp
@@ -19,6 +19,12 @@
   };
 }
 
+void PeerTable::onSharersAnnounced(std::size_t vms, base::TimePoint now)
+{
+  announcedSharers_ = vms;
+  announcedUntil_ = now + settings_.limitShareTimeout;
+}
+
 std::vector<FanoutPeer> PeerTable::receivers() const
 {
   std::vector<FanoutPeer> receivers;
@@ -45,7 +51,8 @@
   const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
     return now < entry.second.lastHeardAt + settings_.limitShareTimeout;
   });
-  return static_cast<std::size_t>(peers) + 1;
+  const std::size_t announced = now < announcedUntil_ ? announcedSharers_ : 0;
+  return std::max(static_cast<std::size_t>(peers) + 1, announced);
 }
 
 std::map<base::DomainId, std::string> PeerTable::loadAggregators(base::TimePoint now) const
--- a/libs/dispatch/tests/PeerTableTest.cpp
+++ b/libs/dispatch/tests/PeerTableTest.cpp
@@ -34,6 +34,22 @@
   CHECK(table.vmsSharingLimits(clock.now()) == 1);
 }
 
+// Guards against more than the allowed rate at a cold server: all VMs divide by the number that the
+// coordinator announces.
+TEST_CASE("a new coordinator counts no fewer VMs than the one before it until they have reported")
+{
+  base::ManualClock clock;
+  PeerTable table({});
+  table.onRegistered(kVm, recordOf(1), clock.now());
+  clock.advance(seconds(61));
+  table.onSharersAnnounced(10, clock.now());
+  clock.advance(seconds(59));
+  CHECK(table.vmsSharingLimits(clock.now()) == 10);
+  table.onReport(kVm, recordOf(1), false, clock.now());
+  clock.advance(seconds(1));
+  CHECK(table.vmsSharingLimits(clock.now()) == 2);
+}
+
 TEST_CASE("a VM that reports that it leaves is no successor")
 {
   base::ManualClock clock;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -470,6 +470,7 @@
   }
   onServersLeaving(message.leavingServers);
   limitSharing_.onPage(message.limitedServers, clockNow());
+  peerTable_.onSharersAnnounced(message.entryVms, clockNow());
   setEntryVms(message.entryVms);
   loadSharing_.setAggregator(message.loadAggregator);
   if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
@@ -717,6 +718,10 @@
 void EntryControl::setEntryVms(std::size_t count)
 {
   if (view_.entryVms != count && count > 0) {
+    log_.write("entry_vms",
+               { { "from", view_.entryVms },
+                 { "to", count },
+                 { "counted_here", coordinatorRole_.active() } });
     view_.entryVms = count;
     publish();
   }
