--- a/libs/platform/src/HttplibTransport.cpp
+++ b/libs/platform/src/HttplibTransport.cpp
@@ -1,7 +1,8 @@
 #include <platform/HttplibTransport.h>
 
+#include <transport/BoundedHttpClient.h>
+
 #include <algorithm>
-#include <httplib.h>
 #include <mutex>
 #include <vector>
 
@@ -67,7 +68,7 @@
     }
   }
 
-  std::unique_ptr<httplib::Client> acquire()
+  std::unique_ptr<transport::BoundedHttpClient> acquire()
   {
     {
       const std::lock_guard lock(mutex_);
@@ -77,13 +78,13 @@
         return client;
       }
     }
-    auto client = std::make_unique<httplib::Client>(host_, port_);
+    auto client = std::make_unique<transport::BoundedHttpClient>(host_, port_);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     return client;
   }
 
-  void release(std::unique_ptr<httplib::Client> client)
+  void release(std::unique_ptr<transport::BoundedHttpClient> client)
   {
     const std::lock_guard lock(mutex_);
     if (idle_.size() < kMaxIdleConnections) {
@@ -101,7 +102,7 @@
   std::string host_;
   int port_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<httplib::Client>> idle_;
+  std::vector<std::unique_ptr<transport::BoundedHttpClient>> idle_;
 };
 
 HttplibTransport::HttplibTransport(std::string address,
@@ -131,8 +132,7 @@
   }
   auto client = pool_->acquire();
   client->set_connection_timeout(std::min(remaining, kMaxConnectTimeout));
-  client->set_read_timeout(remaining);
-  client->set_write_timeout(remaining);
+  client->setTimeouts(deadline, remaining);
 
   HttpReply reply;
   httplib::Request request;
@@ -143,24 +143,24 @@
     request.set_header("Content-Type", "application/json");
   }
   BufferedBytes buffered(bufferedBytes_, maxBufferedBytes_);
-  // The read timeout of cpp-httplib applies to each read only, so the deadline is checked per
-  // chunk.
+  // The timeout applies to each read of the body only, so the deadline is checked per chunk.
   request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
     reply.body.append(data, size);
     return buffered.tryAdd(size) && now() < deadline;
   };
-  const httplib::Result result = client->send(request);
-  if (!result) {
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  if (!client->sendBounded(request, response, error)) {
     // All pooled connections can become unresponsive at once while new ones work.
     pool_->clear();
-    throw TransportError("no answer from the platform: " + httplib::to_string(result.error()),
-                         !failedBeforeSending(result.error()));
+    throw TransportError("no answer from the platform: " + httplib::to_string(error),
+                         !failedBeforeSending(error));
   }
   if (isBlocked()) {
     throw TransportError("the answer of the platform was dropped because its address is blocked",
                          true);
   }
-  reply.status = result->status;
+  reply.status = response.status;
   pool_->release(std::move(client));
   return reply;
 }
--- a/libs/transport/include/transport/HttpClientPool.h
+++ b/libs/transport/include/transport/HttpClientPool.h
@@ -53,7 +53,8 @@
 
   // Sends a request and receives the answer on the calling thread. An answer whose end is marked
   // only by the close of the connection counts as ConnectionLost, since it can't be distinguished
-  // from a truncated one. The deadline bounds the wait for each part of the answer.
+  // from a truncated one. The head must be complete at the deadline, which also bounds the wait for
+  // each part of the body. A head or a line between chunks that is too long ends the exchange.
   ExchangeResult exchange(const std::string& address,
                           const ClientRequest& request,
                           const ResponseReceiver& receiver,
--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -1,11 +1,11 @@
 #include <transport/HttpClientPool.h>
 
+#include <transport/BoundedHttpClient.h>
 #include <transport/HostPort.h>
 #include <transport/TransportError.h>
 
 #include <algorithm>
 #include <atomic>
-#include <httplib.h>
 #include <list>
 #include <mutex>
 #include <netinet/tcp.h>
@@ -25,7 +25,7 @@
 
 struct Connection
 {
-  std::unique_ptr<httplib::Client> client;
+  std::unique_ptr<BoundedHttpClient> client;
   TimePoint openedAt;
   TimePoint lastUsedAt;
 };
@@ -101,7 +101,7 @@
 {
   std::mutex mutex;
   bool cancelled = false;
-  httplib::Client* client = nullptr;
+  BoundedHttpClient* client = nullptr;
 };
 
 CancelHandle::CancelHandle()
@@ -142,7 +142,7 @@
     }
     const HostPort target = HostPort::parse(address);
     Connection connection;
-    connection.client = std::make_unique<httplib::Client>(target.host, target.port);
+    connection.client = std::make_unique<BoundedHttpClient>(target.host, target.port);
     connection.client->set_keep_alive(true);
     connection.client->set_tcp_nodelay(true);
     connection.client->set_url_encode(false);
@@ -216,7 +216,7 @@
 class CancelScope
 {
 public:
-  CancelScope(State* state, httplib::Client& client)
+  CancelScope(State* state, BoundedHttpClient& client)
     : state_(state)
   {
     if (state_ == nullptr) {
@@ -287,8 +287,7 @@
   // Rounded up, so that a wait that times out ends after the deadline: classifyFailure() thereby
   // distinguishes it from a broken connection.
   const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(remaining) + kTimeoutMargin;
-  connection.client->set_read_timeout(timeout);
-  connection.client->set_write_timeout(timeout);
+  connection.client->setTimeouts(deadline, timeout);
 
   bool aborted = false;
   bool indefinite = false;
@@ -305,7 +304,7 @@
   };
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  const bool answered = connection.client->send(out, response, error);
+  const bool answered = connection.client->sendBounded(out, response, error);
   // A cancellation must not stop the connection once the pool has passed it on or closed it.
   scope.end();
   if (answered) {
--- a/libs/transport/src/SocketStream.cpp
+++ b/libs/transport/src/SocketStream.cpp
@@ -118,6 +118,11 @@
     }
     rawHead_.append(buffer_.data() + bufferBegin_, count);
   }
+  const bool isWithinLine = size == 1 && buffer_[bufferBegin_] != '\n';
+  lineBytes_ = isWithinLine ? lineBytes_ + 1 : 0;
+  if (lineBytes_ > kMaxHeadBytes) {
+    return -1;
+  }
   std::memcpy(data, buffer_.data() + bufferBegin_, count);
   bufferBegin_ += count;
   return static_cast<ssize_t>(count);
--- a/libs/transport/src/SocketStream.h
+++ b/libs/transport/src/SocketStream.h
@@ -8,8 +8,9 @@
 
 namespace sycamore::transport {
 
-// A buffered stream over a connected socket, from which cpp-httplib reads requests. While a request
-// head is read, reads time out at the head's deadline; each wait is limited to ioTimeout.
+// A buffered stream over a connected socket, from which cpp-httplib reads requests and answers.
+// While a head is read, reads time out at the head's deadline; each wait is limited to ioTimeout. A
+// head or line that exceeds the maximum length ends the stream.
 class SocketStream : public httplib::Stream
 {
 public:
@@ -23,7 +24,7 @@
   void get_local_ip_and_port(std::string& ip, int& port) const override;
   socket_t socket() const override { return fd_; }
 
-  // Starts the head of the next request, which must be complete at the deadline.
+  // Starts the head of the next message, which must be complete at the deadline.
   void setHeadDeadline(base::TimePoint deadline);
   void clearHeadDeadline();
 
@@ -48,8 +49,8 @@
   bool fill();
 
   static constexpr std::size_t kBufferBytes = 16384;
-  // Maximum length of a head. cpp-httplib alone would buffer a line of any length before checking
-  // it.
+  // Maximum length of a head, and of a line between the chunks of a body. cpp-httplib alone would
+  // buffer a line of any length before checking it.
   static constexpr std::size_t kMaxHeadBytes = 65536;
 
   const int fd_;
@@ -57,6 +58,8 @@
   base::TimePoint headDeadline_ = base::TimePoint::max();
   bool readingHead_ = false;
   std::size_t headBytes_ = 0;
+  // Bytes of the line in progress, which cpp-httplib reads one by one.
+  std::size_t lineBytes_ = 0;
   std::string rawHead_;
   bool discardWrites_ = false;
   std::size_t bufferBegin_ = 0;
