--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -346,12 +346,25 @@
   call.maySend = [this, order, term = term_] {
     return term == term_ && coordinator_->maySend(order, clockNow());
   };
-  calls_.call(std::move(call), [this, order, term = term_](const ExchangeResult& result) {
+  const std::string id = call.requestId;
+  calls_.call(std::move(call), [this, order, id, term = term_](const ExchangeResult& result) {
     bytes_.add("grant", order.server.domain == domain_, result.bytes);
+    const dispatch::GrantAnswer answer = grantAnswerOf(result);
+    if (answer != dispatch::GrantAnswer::Accepted) {
+      log_.write("grant_failed",
+                 { { "id", id },
+                   { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
+                   { "from", order.from },
+                   { "to", order.to },
+                   { "fence", order.fence },
+                   { "status", result.answer.result_int() },
+                   { "end", static_cast<int>(result.end) },
+                   { "connection_reused", result.reused },
+                   { "idle_closed", result.idleClosed } });
+    }
     if (term != term_) {
       return;
     }
-    const dispatch::GrantAnswer answer = grantAnswerOf(result);
     const bool isAmbiguous = result.end == ExchangeEnd::Malformed && result.reused;
     const bool isForeign =
       result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
@@ -362,17 +375,6 @@
     if (answer == dispatch::GrantAnswer::OtherServer) {
       coordinator_->onServerProcessEnded(order.server);
     }
-    if (answer != dispatch::GrantAnswer::Accepted) {
-      log_.write("grant_failed",
-                 { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
-                   { "from", order.from },
-                   { "to", order.to },
-                   { "fence", order.fence },
-                   { "status", result.answer.result_int() },
-                   { "end", static_cast<int>(result.end) },
-                   { "connection_reused", result.reused },
-                   { "idle_closed", result.idleClosed } });
-    }
     coordinator_->onGrantAnswered(order, answer, clockNow());
   });
 }
--- a/tests/entry/FaultProxy.cpp
+++ b/tests/entry/FaultProxy.cpp
@@ -38,11 +38,14 @@
   }
 }
 
+// Returns the address of the VM, or "" if it has already reset the connection.
 std::string peerOf(const review::Channel& channel)
 {
   sockaddr_in peer{};
   socklen_t size = sizeof peer;
-  getpeername(channel.fd(), reinterpret_cast<sockaddr*>(&peer), &size);
+  if (getpeername(channel.fd(), reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+    return "";
+  }
   char text[INET_ADDRSTRLEN] = {};
   inet_ntop(AF_INET, &peer.sin_addr, text, sizeof text);
   return text;
@@ -189,8 +192,12 @@
   const auto draw = this->draw(connection.vm, connection.number, kind);
   std::string trace;
   if (!connection.address.isStore) {
+    // The id of a call names the process that sent it, also if its connection has been reset.
+    const std::string origin = connection.vm.empty()
+                                 ? "call:" + request.header(wire::testing::kRequestIdName)
+                                 : connection.vm;
     trace = std::string(kSentAtHeader) + ": " + std::to_string(sentAt) + "\r\n" + kOriginHeader +
-            ": " + connection.vm + "\r\n";
+            ": " + origin + "\r\n";
   }
   if (draw && draw->fault == CallFault::ApplyLate) {
     trace += std::string(kLateHeader) + ": " +
