Show that a second answer to an order can give a key two owners

Promise: OWNER, an instance takes a key only with a generation number above all that others had. Disruption: an instance gives a second answer to one order (garble extra late) and carries out the next order late without an answer (applied_late); a scale-in follows.

--- a/review/stand-ins-2/tests/Deployment.h
+++ b/review/stand-ins-2/tests/Deployment.h
@@ -69,7 +69,9 @@
     , born_(std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
               .count())
-    , server_(settings_.ip, [this](const Message& request) { return handle(request); })
+    , server_(
+        settings_.ip,
+        [this](const Message& request, int connection) { return handle(request, connection); })
     , beat_([this] { beat(); })
   {
   }
@@ -94,6 +96,48 @@
     spoil_ = std::move(spoil);
   }
 
+  // Answers an order in place of the instance: nothing if it leaves that to the instance.
+  using Intercept = std::function<std::optional<std::string>(const Message& order, int connection)>;
+  void setIntercept(Intercept intercept)
+  {
+    const std::lock_guard lock(mutex_);
+    intercept_ = std::move(intercept);
+  }
+  // Whether answers to orders carry the order's Request-Id.
+  void setEchoesOrderIds(bool echoes) { echoesOrderIds_ = echoes; }
+
+  // Carries out a grant that arrives now and gets no answer: later, for the rest of its time.
+  void applyLate(const Message& order, int delayMs)
+  {
+    const Grant grant = grantOf(Json::parse(order.body));
+    std::thread([this, grant, delayMs, body = order.body] {
+      pause(delayMs);
+      const std::lock_guard lock(mutex_);
+      if (Clock::now() >= grant.until) {
+        return;
+      }
+      for (std::size_t key = grant.from; key <= grant.to; ++key) {
+        if (!holds(key)) {
+          take(key, grant);
+        }
+      }
+      record_.write(settings_.id + " carries out, " + std::to_string(delayMs) +
+                    " ms after its arrival, the grant " + body);
+    }).detach();
+  }
+
+  struct Held
+  {
+    bool holds = false;
+    std::uint64_t fence = 0;
+  };
+  // Whether the instance holds the key now, and the generation with which it last took it.
+  Held held(std::size_t key) const
+  {
+    const std::lock_guard lock(mutex_);
+    return { holds(key), keys_[key].fence };
+  }
+
   // Number of answers sent so far, and whether a request has been begun.
   std::size_t answers() const { return answers_; }
   bool hasRun(const std::string& requestId) const
@@ -121,8 +165,33 @@
     unsigned atWork = 0;
   };
 
+  struct Grant
+  {
+    std::size_t from;
+    std::size_t to;
+    std::uint64_t fence;
+    Clock::time_point until;
+  };
+
+  // Returns a grant that arrives now.
+  static Grant grantOf(const Json& body)
+  {
+    const auto time = std::chrono::duration<double>(body["hold_s"].get<double>());
+    return { body["from"],
+             body["to"],
+             body["fence"],
+             Clock::now() + std::chrono::duration_cast<Clock::duration>(time) };
+  }
+
   bool holds(std::size_t key) const { return Clock::now() < keys_[key].until; }
 
+  void take(std::size_t key, const Grant& grant)
+  {
+    keys_[key].fence = grant.fence;
+    keys_[key].highestFence = std::max(keys_[key].highestFence, grant.fence);
+    keys_[key].until = grant.until;
+  }
+
   void beat()
   {
     while (!stops_) {
@@ -148,15 +217,22 @@
         { "status", { { "state", state_ }, { "seq", ++seq_ }, { "warmup_left_s", 0 } } } });
   }
 
-  std::string handle(const Message& request)
+  std::optional<std::string> handle(const Message& request, int connection)
   {
-    std::string answer = answerTo(request);
-    ++answers_;
+    Intercept intercept;
     Spoil spoil;
     {
       const std::lock_guard lock(mutex_);
+      intercept = intercept_;
       spoil = spoil_;
     }
+    ++answers_;
+    if (intercept) {
+      if (auto answer = intercept(request, connection)) {
+        return answer;
+      }
+    }
+    std::string answer = answerTo(request);
     return spoil ? spoil(request, std::move(answer)) : answer;
   }
 
@@ -170,7 +246,8 @@
     }
     const std::string path = request.word(1);
     if (path == "/v1/grant" || path == "/v1/release") {
-      return path == "/v1/grant" ? grant(request, echo) : release(request, echo);
+      const std::string orderEcho = echoesOrderIds_ ? echo : "";
+      return path == "/v1/grant" ? grant(request, orderEcho) : release(request, orderEcho);
     }
     if (path == "/healthz") {
       return answerText(200, "Instance-Id: " + settings_.id + "\r\n" + loadHeader(), "");
@@ -190,23 +267,17 @@
     if (!body.is_object()) {
       return answerText(400, echo, "");
     }
-    const std::size_t from = body["from"];
-    const std::size_t to = body["to"];
-    const std::uint64_t fence = body["fence"];
-    const auto until =
-      Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                       std::chrono::duration<double>(body["hold_s"].get<double>()));
+    const Grant grant = grantOf(body);
     const std::lock_guard lock(mutex_);
-    for (std::size_t key = from; key <= to; ++key) {
-      if (keys_[key].highestFence > fence) {
+    for (std::size_t key = grant.from; key <= grant.to; ++key) {
+      if (keys_[key].highestFence > grant.fence) {
         return answerText(409, echo, "");
       }
     }
-    for (std::size_t key = from; key <= to; ++key) {
-      keys_[key].fence = keys_[key].highestFence = fence;
-      keys_[key].until = until;
+    for (std::size_t key = grant.from; key <= grant.to; ++key) {
+      take(key, grant);
     }
-    if (std::exchange(granted_[{ from, to }], fence) != fence) {
+    if (std::exchange(granted_[{ grant.from, grant.to }], grant.fence) != grant.fence) {
       record_.write(settings_.id + " is granted " + request.body);
     }
     return answerText(200, echo, "");
@@ -220,6 +291,7 @@
     }
     const std::size_t from = body["from"];
     const std::size_t to = body["to"];
+    const std::uint64_t fence = body["fence"];
     record_.write(settings_.id + " is asked to release " + request.body);
     bool isAtWork = true;
     while (isAtWork) {
@@ -227,6 +299,7 @@
       const std::lock_guard lock(mutex_);
       for (std::size_t key = from; key <= to; ++key) {
         keys_[key].until = {};
+        keys_[key].highestFence = std::max(keys_[key].highestFence, fence);
         isAtWork = isAtWork || keys_[key].atWork > 0;
       }
       if (isAtWork) {
@@ -282,6 +355,8 @@
   std::set<std::string> running_;
   std::set<std::string> begun_;
   Spoil spoil_;
+  Intercept intercept_;
+  std::atomic<bool> echoesOrderIds_{ true };
   std::atomic<std::uint64_t> tokens_{ 0x5c0e7a2100000000ULL };
   std::atomic<std::size_t> answers_{ 0 };
   std::atomic<const char*> state_{ "ready" };
--- a/review/stand-ins-2/tests/Http.h
+++ b/review/stand-ins-2/tests/Http.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <poll.h>
 #include <string>
 #include <sys/socket.h>
@@ -210,12 +211,13 @@
   return port;
 }
 
-// Serves each connection in a thread of its own until the process ends. The handler returns the
-// whole answer; nothing if the connection is to be closed without one.
+// Serves each connection in a thread of its own until the process ends. The handler gets the number
+// of the connection and returns the whole answer: empty if there is none, nothing if the connection
+// is to be closed.
 class Server
 {
 public:
-  using Handler = std::function<std::string(const Message&)>;
+  using Handler = std::function<std::optional<std::string>(const Message&, int)>;
 
   Server(const std::string& ip, Handler handler)
     : state_(std::make_shared<State>())
@@ -246,10 +248,12 @@
   {
     const int on = 1;
     ::setsockopt(socket.handle(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    static std::atomic<int> connections{ 0 };
+    const int number = ++connections;
     Message request;
     while (socket.read(request, Clock::now() + std::chrono::minutes(5))) {
-      const std::string answer = state.handler(request);
-      if (answer.empty() || !socket.write(answer)) {
+      const auto answer = state.handler(request, number);
+      if (!answer || !socket.write(*answer)) {
         return;
       }
     }
--- a/review/stand-ins-2/tests/Store.h
+++ b/review/stand-ins-2/tests/Store.h
@@ -17,7 +17,7 @@
   // The counter of revisions starts at `revision`.
   Store(const std::string& ip, std::uint64_t revision)
     : revision_(revision)
-    , server_(ip, [this](const Message& request) { return handle(request); })
+    , server_(ip, [this](const Message& request, int) { return handle(request); })
   {
   }
 
