--- a/review/stand-ins-2/tests/Site.h
+++ b/review/stand-ins-2/tests/Site.h
@@ -118,8 +118,8 @@
   const char* const trouble = std::getenv("TROUBLE");
   const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
   std::signal(SIGPIPE, SIG_IGN);
-  char folder[] = "/tmp/sycamore-review-XXXXXX";
-  if (argc < 2 || ::mkdtemp(folder) == nullptr) {
+  std::string folder = (std::filesystem::temp_directory_path() / "sycamore-review-XXXXXX").string();
+  if (argc < 2 || ::mkdtemp(folder.data()) == nullptr) {
     std::cerr << "usage: case RECORD\n";
     ::_exit(2);
   }
