Log the handler and the exception when one ends the process

Change: handlers that take bytes or run on a timer name themselves (HandlerScope); before std::terminate() ends the process, one line 'crash' tells the handler, the class and the text of the exception. The line takes no lock, since the failed thread may hold it. No fault is fixed by this.

--- a/libs/entry/include/entry/EventLog.h
+++ b/libs/entry/include/entry/EventLog.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -22,6 +23,10 @@
   // Logs an event. `fields` is a JSON object with its details and causes.
   void write(const std::string& event, nlohmann::json fields = nlohmann::json::object());
 
+  // Logs the last event of a process that is about to end. Takes no lock, which the failed thread
+  // may hold, and ignores the bound on lines.
+  void writeLast(const std::string& event, nlohmann::json fields) const;
+
   std::uint64_t dropped() const;
 
 private:
@@ -32,6 +37,11 @@
     std::uint64_t dropped = 0;
   };
 
+  // Returns whether the line was written.
+  bool writeLine(const std::string& event,
+                 nlohmann::json fields,
+                 std::chrono::milliseconds steadyTime) const;
+
   std::string vm_;
   mutable std::mutex mutex_;
   std::map<std::string, EventCounts> countsByEvent_;
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include <entry/CallerConnection.h>
 
+#include <entry/HandlerScope.h>
 #include <entry/RequestHandler.h>
 #include <entry/SteadyTime.h>
 
@@ -119,6 +120,7 @@
 
 void CallerConnection::onBytes(const error_code& error, std::size_t count)
 {
+  const HandlerScope scope("caller_bytes");
   if (closed_) {
     return;
   }
@@ -293,6 +295,7 @@
 
 void CallerConnection::onWritten(const error_code& error)
 {
+  const HandlerScope scope("caller_written");
   if (closed_) {
     return;
   }
@@ -374,6 +377,7 @@
 
 void CallerConnection::onTimer()
 {
+  const HandlerScope scope("caller_timer");
   timerAt_ = base::TimePoint::max();
   const base::TimePoint now = clockNow();
   if (closed_ || now < deadline()) {
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -1,5 +1,6 @@
 #include <entry/EntryControl.h>
 
+#include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
 #include <wire/WireError.h>
@@ -603,6 +604,7 @@
 
 void EntryControl::tick()
 {
+  const HandlerScope scope("control_tick");
   const base::TimePoint now = clockNow();
   if (coordinatorRole_.active()) {
     updateCoordinator();
--- a/libs/entry/src/EventLog.cpp
+++ b/libs/entry/src/EventLog.cpp
@@ -3,7 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <chrono>
+#include <utility>
 
 namespace sycamore::entry {
 
@@ -12,6 +12,12 @@
 // Maximum number of lines per event name and second.
 constexpr unsigned kMaxLinesPerSecond = 10;
 
+std::chrono::milliseconds steadyTimeNow()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::steady_clock::now().time_since_epoch());
+}
+
 } // namespace
 
 EventLog::EventLog(std::string vm)
@@ -25,9 +31,8 @@
 
 void EventLog::write(const std::string& event, nlohmann::json fields)
 {
-  using std::chrono::duration_cast;
-  const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-  const std::int64_t second = duration_cast<std::chrono::seconds>(sinceEpoch).count();
+  const std::chrono::milliseconds steadyTime = steadyTimeNow();
+  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(steadyTime).count();
   const std::lock_guard lock(mutex_);
   EventCounts& counts = countsByEvent_[event];
   if (counts.second != second) {
@@ -40,20 +45,32 @@
     return;
   }
   ++counts.written;
-  fields["event"] = event;
-  fields["vm"] = vm_;
-  fields["steady_ms"] = duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
   if (counts.dropped > 0) {
     fields["dropped"] = counts.dropped;
     counts.dropped = 0;
   }
-  const std::string line =
-    fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-  if (::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+  if (!writeLine(event, std::move(fields), steadyTime)) {
     ++dropped_;
   }
 }
 
+void EventLog::writeLast(const std::string& event, nlohmann::json fields) const
+{
+  writeLine(event, std::move(fields), steadyTimeNow());
+}
+
+bool EventLog::writeLine(const std::string& event,
+                         nlohmann::json fields,
+                         std::chrono::milliseconds steadyTime) const
+{
+  fields["event"] = event;
+  fields["vm"] = vm_;
+  fields["steady_ms"] = steadyTime.count();
+  const std::string line =
+    fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  return ::write(STDOUT_FILENO, line.data(), line.size()) >= 0;
+}
+
 std::uint64_t EventLog::dropped() const
 {
   const std::lock_guard lock(mutex_);
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -1,5 +1,7 @@
 #include <entry/PeerLink.h>
 
+#include <entry/HandlerScope.h>
+
 namespace sycamore::entry {
 
 PeerLink::PeerLink(asio::io_context& context,
@@ -69,6 +71,7 @@
 {
   socket_.async_receive_from(
     asio::buffer(buffer_), from_, [this](const error_code& error, std::size_t count) {
+      const HandlerScope scope("peer_message");
       if (error == asio::error::operation_aborted) {
         return;
       }
--- a/libs/entry/src/ReadinessServer.cpp
+++ b/libs/entry/src/ReadinessServer.cpp
@@ -1,5 +1,6 @@
 #include <entry/ReadinessServer.h>
 
+#include <entry/HandlerScope.h>
 #include <entry/HttpText.h>
 
 #include <wire/ServerProtocol.h>
@@ -51,6 +52,7 @@
 
   void process()
   {
+    const HandlerScope scope("readiness_request");
     const ReadState state = reader.feed(in);
     if (state == ReadState::NeedMore) {
       read();
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -1,6 +1,7 @@
 #include <entry/RequestHandler.h>
 
 #include <entry/AnswerCheck.h>
+#include <entry/HandlerScope.h>
 #include <entry/RequestDigest.h>
 #include <entry/SteadyTime.h>
 
@@ -413,6 +414,7 @@
   resendTimer_.expires_after(
     std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay));
   resendTimer_.async_wait([self = shared_from_this()](const error_code& error) {
+    const HandlerScope scope("request_resend");
     if (!error && self->deliver_) {
       self->send();
     }
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include <entry/ServerConnection.h>
 
+#include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
 #include <base/HttpStatus.h>
@@ -172,6 +173,7 @@
 
 void ServerConnection::onBytes(const error_code& error, std::size_t count)
 {
+  const HandlerScope scope("server_answer");
   if (closed_) {
     return;
   }
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -1,6 +1,8 @@
 #include "EntryProcess.h"
 
 #include <base/Error.h>
+#include <entry/CrashLine.h>
+#include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 #include <telemetry/PrometheusText.h>
 
@@ -127,6 +129,7 @@
 
 int EntryProcess::run()
 {
+  const CrashLine crashLine(log_);
   log_.write("start",
              { { "run", runId_ },
                { "domain", settings_.domain.value() },
@@ -140,7 +143,9 @@
     entryControl_.start();
     control_.run();
   });
-  traffic_.run();
+  // An exception must not unwind past the control thread, which would hide it.
+  const auto runTraffic = [this]() noexcept { traffic_.run(); };
+  runTraffic();
   control_.stop();
   control.join();
   log_.write("stop", { { "received", dispatcher_.counts().received } });
@@ -161,6 +166,7 @@
       return;
     }
     asio::post(control_, [this, report = dispatcher_.takeReport()]() mutable {
+      const HandlerScope scope("traffic_report");
       entryControl_.recordTraffic(std::move(report));
       asio::post(traffic_, [this, status = entryControl_.status()] { onStatus(status); });
     });
