Take only a token that can be passed on from the answer to a release

What callers saw: one server's spoiled answer to a release ended the coordinator's process with signal 6; requests that other servers ran for it ended with a closed connection, at-most-once ones among them. Cause: readReleaseAnswer() kept the token's bytes as they came, and grantBody() wrote them to the next owner as JSON, which throws for bytes that aren't UTF-8. Ruled out: the parser of the answer (it takes such bytes), the log (it replaces them), the ownership record (it has no token). Change: HandoverToken holds only valid UTF-8 without control characters, up to 4,096 bytes, and is checked where the answer is read. The release stands without it; a line and a counter tell.

--- a/libs/dispatch/include/dispatch/CoordinatorActions.h
+++ b/libs/dispatch/include/dispatch/CoordinatorActions.h
@@ -3,6 +3,7 @@
 #include <base/Ids.h>
 #include <base/Time.h>
 #include <dispatch/BackendServer.h>
+#include <dispatch/HandoverToken.h>
 #include <dispatch/OwnershipRecord.h>
 
 #include <cstddef>
@@ -21,7 +22,7 @@
   std::uint64_t fence = 0;
   BackendServer server;
   // Token from the previous owner's answer to the release; empty if there is none.
-  std::string handover;
+  HandoverToken handover;
   // Time from which on the call must not be sent any more.
   base::TimePoint sendBy{};
 };
@@ -121,7 +122,9 @@
 
   Kind kind = Kind::OutcomeUnknown;
   // Token for the next owner; empty if there is none.
-  std::string handover = "";
+  HandoverToken handover = {};
+  // Why the server's token was dropped.
+  HandoverToken::Defect tokenDefect = HandoverToken::Defect::None;
 };
 
 // What a coordinator that stops granting tells its successor.
--- a/libs/dispatch/include/dispatch/ManagedRange.h
+++ b/libs/dispatch/include/dispatch/ManagedRange.h
@@ -40,7 +40,7 @@
   RangePhase phase = RangePhase::Owned;
   base::TimePoint nextCallAt{};
   // Token from the previous owner's answer to the release, for the next grant.
-  std::string handover = "";
+  HandoverToken handover = {};
   // Target of a planned move between live servers.
   std::optional<base::ServerId> target = std::nullopt;
   // Why and since when the range has no owner. Valid in the phase Unowned.
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -187,7 +187,7 @@
       continue;
     }
     if (answer == GrantAnswer::Accepted) {
-      managed->handover.clear();
+      managed->handover = {};
     } else if (answer == GrantAnswer::Superseded && now < nextOwnersFrom_) {
       // Another server may hold the range, by a record that the store has lost.
       managed->phase = Phase::Releasing;
--- a/libs/dispatch/tests/CoordinatorFixture.cpp
+++ b/libs/dispatch/tests/CoordinatorFixture.cpp
@@ -259,7 +259,8 @@
     }
   }
   server->held = kept;
-  coordinator_->onReleaseAnswered(order, { ReleaseAnswer::Kind::Released, "token" }, clock_.now());
+  coordinator_->onReleaseAnswered(
+    order, { ReleaseAnswer::Kind::Released, HandoverToken("token") }, clock_.now());
 }
 
 CoordinatorFixture::Server* CoordinatorFixture::serverOf(const BackendServer& registration)
--- a/libs/dispatch/tests/HotSpanModel.cpp
+++ b/libs/dispatch/tests/HotSpanModel.cpp
@@ -93,7 +93,7 @@
     releases_, [&](const PendingRelease& release) { return release.answerAt > clock_.now(); });
   for (const PendingRelease& release : answered) {
     coordinator_->onReleaseAnswered(
-      release.order, { ReleaseAnswer::Kind::Released, "token" }, clock_.now());
+      release.order, { ReleaseAnswer::Kind::Released, HandoverToken("token") }, clock_.now());
   }
   releases_.erase(answered.begin(), answered.end());
   if (++steps_ % kStepsPerTick == 0) {
--- a/libs/dispatch/tests/OwnershipCalls.cpp
+++ b/libs/dispatch/tests/OwnershipCalls.cpp
@@ -187,7 +187,7 @@
                          play_.fault == DeliberateFault::ReleaseAnsweredEarly ||
                          call.isAnsweredAtOnce;
   if (call.isApplied && mayAnswer && now >= server->losesAnswersUntil) {
-    return ReleaseAnswer{ Kind::Released, "token" };
+    return ReleaseAnswer{ Kind::Released, HandoverToken("token") };
   }
   return std::nullopt;
 }
--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -43,6 +43,8 @@
   std::size_t rangesUnowned = 0;
   // Number of times that this VM, as coordinator, has spread hot keys over several servers.
   std::uint64_t hotSpanSpreads = 0;
+  // Number of tokens in answers to releases that were dropped because they can't be passed on.
+  std::uint64_t malformedTokens = 0;
   std::size_t entryVms = 0;
   // Requests of workspaces' quotas that this VM has lent as coordinator.
   dispatch::QuotaIssuer::Counts quotas;
--- a/libs/entry/include/entry/CoordinatorRole.h
+++ b/libs/entry/include/entry/CoordinatorRole.h
@@ -50,6 +50,9 @@
   std::uint64_t revision() const { return revision_; }
   // Returns the number of times that this VM, as coordinator, has spread hot keys.
   std::uint64_t hotSpanSpreads() const { return hotSpanSpreads_; }
+  // Returns the number of tokens in answers to releases that were dropped because they can't be
+  // passed on.
+  std::uint64_t malformedTokens() const { return malformedTokens_; }
   // Returns whether the store has answered recently enough that this VM's watches can be assumed to
   // receive changes.
   bool hasRecentStoreContact(base::TimePoint now) const;
@@ -95,6 +98,7 @@
   Call callTo(const dispatch::BackendServer& server, std::string path);
   void sendGrant(const dispatch::GrantOrder& order);
   void sendRelease(const dispatch::ReleaseOrder& order);
+  void recordToken(const dispatch::ReleaseOrder& order, const dispatch::ReleaseAnswer& answer);
 
   CallClient& calls_;
   StoreClient& store_;
@@ -121,6 +125,7 @@
   std::uint64_t term_ = 0;
   std::uint64_t callsToServers_ = 0;
   std::uint64_t hotSpanSpreads_ = 0;
+  std::uint64_t malformedTokens_ = 0;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/src/ControlStatus.cpp
+++ b/libs/entry/src/ControlStatus.cpp
@@ -75,6 +75,10 @@
   telemetry::writeMetricHeader(
     out, spreads, "Times that hot keys were spread over several servers.", "counter");
   out += spreads + ' ' + std::to_string(status.hotSpanSpreads) + '\n';
+  const std::string tokens = "sycamore_entry_release_tokens_malformed_total";
+  telemetry::writeMetricHeader(
+    out, tokens, "Tokens in answers to releases that can't be passed on.", "counter");
+  out += tokens + ' ' + std::to_string(status.malformedTokens) + '\n';
   const std::string quotas = "sycamore_entry_quota_requests_total";
   telemetry::writeMetricHeader(
     out, quotas, "Requests of quotas that this VM lent, denied and got back.", "counter");
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -460,8 +460,25 @@
                  { "has_token", !answer.handover.empty() },
                  { "status", result.answer.result_int() },
                  { "end", static_cast<int>(result.end) } });
+    recordToken(order, answer);
     coordinator_->onReleaseAnswered(order, answer, clockNow());
   });
 }
 
+// The release stands without its token; the keys are slow for a while at their next owner.
+void CoordinatorRole::recordToken(const dispatch::ReleaseOrder& order,
+                                  const dispatch::ReleaseAnswer& answer)
+{
+  if (answer.tokenDefect == dispatch::HandoverToken::Defect::None) {
+    return;
+  }
+  ++malformedTokens_;
+  log_.write("release_token_malformed",
+             { { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
+               { "from", order.from },
+               { "to", order.to },
+               { "fence", order.fence },
+               { "why", dispatch::describe(answer.tokenDefect) } });
+}
+
 } // namespace sycamore::entry
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -3,6 +3,7 @@
 #include <entry/CoordinatorRole.h>
 #include <entry/SteadyTime.h>
 
+#include <KeyServerTexts.h>
 #include <ServerTexts.h>
 #include <StoreTexts.h>
 
@@ -109,6 +110,7 @@
   const dispatch::Coordinator& self() const { return self_; }
   const dispatch::KeyCoordinator& coordinator() const { return *role_.coordinator(); }
   bool isActive() const { return role_.active(); }
+  std::uint64_t malformedTokens() const { return role_.malformedTokens(); }
 
   asio::io_context& context() { return context_; }
   const ByteCounts& bytes() const { return bytes_; }
@@ -256,6 +258,44 @@
   CHECK(server.accepted() > acceptedBefore);
 }
 
+// Guards against one spoiled answer that ends the coordinator's process.
+TEST_CASE(
+  "a spoiled token in the answer to a release is dropped, and the keys get their next owner")
+{
+  const std::string intact = "5c0e7a21d94b36f8";
+  std::string spoiled = intact;
+  spoiled[0] = '\xb5';
+  spoiled[7] = '\xff';
+  for (const std::string& token : { intact, spoiled, std::string(60'000, 'x') }) {
+    Role role;
+    FakeServer leaving(role.context(), [&](const std::string& request) {
+      const bool isRelease = request.find("/release") != std::string::npos;
+      return FakeServer::Reaction{ isRelease ? releasedAnswer(token)
+                                             : validAnswer(requestIdOf(request), "") };
+    });
+    std::string grant;
+    FakeServer next(role.context(), [&](const std::string& request) {
+      grant = request;
+      return FakeServer::Reaction{ validAnswer(requestIdOf(request), "") };
+    });
+    const base::ServiceId service("layout");
+    dispatch::BackendServer first = serverAt(leaving.port(), service);
+    dispatch::BackendServer second = serverAt(next.port(), service);
+    second.id = base::ServerId("s1");
+    REQUIRE(role.tryTakeover());
+    role.coordinator().setServices({ { service, { 120, 10, true } } });
+    role.coordinator().setServers({ { first.id, first } }, clockNow());
+    role.runUntil([&] { return leaving.requests().size() >= 3; });
+    first.draining = true;
+    role.coordinator().setServers({ { first.id, first }, { second.id, second } }, clockNow());
+    role.runUntil([&] { return !grant.empty(); });
+    REQUIRE_FALSE(grant.empty());
+    CHECK((grant.find(intact) != std::string::npos) == (token == intact));
+    CHECK(grant.size() < 1000);
+    CHECK((role.malformedTokens() > 0) == (token != intact));
+  }
+}
+
 // Guards against a faulty server that fills the memory for the answers of the store.
 TEST_CASE("an answer without end to a grant is cut off after some kilobytes")
 {
