Read header fields of any size, and count header and trailer against one limit

What callers saw: with max. header bytes of 131,072, one request with a field of 66,000 bytes ended each entry VM's process that read it; the requests in it were cut. With the settings as they are, a chunked request with such a trailer, in third place on a connection, did the same, and so did a server's answer with one. Cause: Beast's container of fields has 16-bit sizes and throws length_error beyond 65,533 bytes. The parser's own limit doesn't count trailers; only the size of the pieces that it is fed kept them short, and up to 256 KiB collect behind a request that waits. Nor does it add up fields that arrive one by one. Ruled out: the body (ReceivedBody), targets, methods, reasons and chunk extensions, which are read at any size. Change: MessageParser stores the parser's views in HeaderFields of our own; MessageReader counts the start line, the header and the trailer together. A folded field that the parser's buffer can't hold is 400, not 431.

--- a/libs/entry/include/entry/MessageReader.h
+++ b/libs/entry/include/entry/MessageReader.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include <entry/ReceivedBody.h>
+#include <entry/MessageParser.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sycamore::entry {
 
@@ -17,21 +19,21 @@
 };
 
 // Assembles complete HTTP/1.1 messages from the bytes of a connection. Bytes after a message stay
-// in the buffer.
-template<bool isRequest>
+// in the buffer. One limit holds for the start line, the header fields and those of the trailer
+// together, in whatever pieces they arrive.
+template<typename Message>
 class MessageReader
 {
 public:
-  using Message = http::message<isRequest, ReceivedBody>;
-
-  // Prepares for the next message. `skipBody` is for answers without a body, such as those to HEAD.
+  // Prepares for the next message. The limits are in bytes. `skipBody` is for answers without a
+  // body, such as those to HEAD.
   void start(std::uint32_t headerLimit, std::uint64_t bodyLimit, bool skipBody = false)
   {
     parser_.emplace();
     headerLimit_ = headerLimit;
+    headerBytes_ = 0;
     parser_->header_limit(headerLimit);
     parser_->body_limit(bodyLimit);
-    parser_->eager(true);
     if (skipBody) {
       parser_->skip(true);
     }
@@ -42,22 +44,10 @@
   // header limit can't be parsed yet, such as those of an endless line between two chunks.
   ReadState feed(std::string& buffer)
   {
-    while (!parser_->is_done() && !buffer.empty()) {
-      const std::size_t taken = parser_->put(asio::buffer(buffer), error_);
-      buffer.erase(0, taken);
-      if (error_ == http::error::need_more) {
-        error_ = {};
-        if (buffer.size() > headerLimit_) {
-          error_ = http::error::header_limit;
-          return ReadState::Failed;
-        }
-        return ReadState::NeedMore;
-      }
-      if (error_) {
-        return ReadState::Failed;
-      }
-    }
-    return parser_->is_done() ? ReadState::Done : ReadState::NeedMore;
+    std::size_t parsed = 0;
+    const ReadState state = parse(buffer, parsed);
+    buffer.erase(0, parsed);
+    return state;
   }
 
   // Ends the message because the peer closed the connection in order, which completes a message
@@ -79,19 +69,66 @@
   bool headerDone() const { return parser_->is_header_done(); }
   // Returns whether any byte of the message has been read.
   bool begun() const { return parser_->got_some(); }
-  const Message& message() const { return parser_->get(); }
-  Message take() { return parser_->release(); }
+  const Message& message() const { return parser_->message(); }
+  Message take() { return parser_->take(); }
   const error_code& error() const { return error_; }
 
 private:
-  std::optional<http::parser<isRequest, ReceivedBody>> parser_;
+  ReadState parse(std::string_view bytes, std::size_t& parsed)
+  {
+    while (!parser_->is_done() && parsed < bytes.size()) {
+      const bool isHeader = !parser_->is_header_done();
+      const std::string_view rest = bytes.substr(parsed);
+      parsed += isHeader ? putHeader(rest) : put(rest);
+      const std::size_t unparsed = bytes.size() - parsed;
+      const std::size_t counted = isHeader ? headerBytes_ + unparsed : unparsed;
+      const bool isIncomplete = error_ == http::error::need_more;
+      if (isIncomplete && counted > headerLimit_) {
+        error_ = http::error::header_limit;
+      } else if (isIncomplete) {
+        error_ = {};
+        return ReadState::NeedMore;
+      }
+      if (error_) {
+        return ReadState::Failed;
+      }
+    }
+    return parser_->is_done() ? ReadState::Done : ReadState::NeedMore;
+  }
+
+  // Parses until the end of the header at most, so that its bytes can be counted.
+  std::size_t putHeader(std::string_view bytes)
+  {
+    parser_->eager(false);
+    const std::size_t taken = put(bytes);
+    headerBytes_ += taken;
+    const std::size_t arrived = headerBytes_ + bytes.size() - taken;
+    if (error_ == http::error::header_limit && arrived < headerLimit_) {
+      // The parser's buffer for a field in several lines is smaller than the limit. Recipients may
+      // refuse such fields (RFC 9112, 5.2).
+      error_ = http::error::bad_obs_fold;
+    }
+    if (!error_ && headerBytes_ > headerLimit_) {
+      error_ = http::error::header_limit;
+    }
+    parser_->eager(true);
+    parser_->setTrailerLimit(headerLimit_ - std::min(headerBytes_, headerLimit_));
+    return taken;
+  }
+
+  std::size_t put(std::string_view bytes)
+  {
+    return parser_->put(asio::buffer(bytes.data(), bytes.size()), error_);
+  }
+
+  std::optional<MessageParser<Message>> parser_;
   error_code error_;
   std::size_t headerLimit_ = 0;
+  // Bytes of the start line and of the header fields that have been parsed.
+  std::size_t headerBytes_ = 0;
 };
 
-using RequestReader = MessageReader<true>;
-using AnswerReader = MessageReader<false>;
-using Request = RequestReader::Message;
-using ServerAnswer = AnswerReader::Message;
+using RequestReader = MessageReader<Request>;
+using AnswerReader = MessageReader<ServerAnswer>;
 
 } // namespace sycamore::entry
--- a/libs/entry/src/AnswerCheck.cpp
+++ b/libs/entry/src/AnswerCheck.cpp
@@ -6,10 +6,10 @@
 
 AnswerVerdict checkAnswer(const ServerAnswer& answer, const std::string& requestId)
 {
-  const unsigned status = answer.result_int();
-  const wire::AnswerMetadata metadata = wire::readAnswerMetadata(status, answer);
+  const unsigned status = answer.status;
+  const wire::AnswerMetadata metadata = wire::readAnswerMetadata(status, answer.fields);
   const bool isSuccess = status >= 200 && status < 300;
-  const bool isEncoded = answer.find(http::field::content_encoding) != answer.end();
+  const bool isEncoded = answer.fields.contains("Content-Encoding");
   if (isSuccess && (!metadata.hasSignature || metadata.requestId != requestId || isEncoded)) {
     return AnswerVerdict::Unverified;
   }
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -195,11 +195,11 @@
 {
   ReceivedRequest received = input_.take();
   isWaitCounted_ = false;
-  if (!received.request.keep_alive()) {
+  if (!received.request.isKeepAlive) {
     input_.end();
   }
   const RequestNumber number =
-    answers_.begin(received.request.method() == http::verb::head, std::move(received.memory));
+    answers_.begin(received.request.method == "HEAD", std::move(received.memory));
   const auto weak = weak_from_this();
   auto handler = server_.dispatcher_.handle(
     std::move(received.request), received.beganAt, [weak, number](CallerAnswer answer) {
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -409,7 +409,7 @@
                    { "from", order.from },
                    { "to", order.to },
                    { "fence", order.fence },
-                   { "status", result.answer.result_int() },
+                   { "status", result.answer.status },
                    { "end", static_cast<int>(result.end) },
                    { "connection_reused", result.reused },
                    { "idle_closed", result.idleClosed } });
@@ -458,7 +458,7 @@
                  { "fence", order.fence },
                  { "answered", answer.kind == dispatch::ReleaseAnswer::Kind::Released },
                  { "has_token", !answer.handover.empty() },
-                 { "status", result.answer.result_int() },
+                 { "status", result.answer.status },
                  { "end", static_cast<int>(result.end) } });
     recordToken(order, answer);
     coordinator_->onReleaseAnswered(order, answer, clockNow());
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -224,9 +224,7 @@
 dispatch::Repeatability Dispatcher::repeatabilityOf(const Request& request) const
 {
   const dispatch::Route* const route =
-    routes_
-      ? routes_->find(toStringView(request[http::field::host]), toStringView(request.target()))
-      : nullptr;
+    routes_ ? routes_->find(request.fields.valueOf("Host"), request.target) : nullptr;
   return route == nullptr ? dispatch::Repeatability::AtMostOnce : route->repeatability;
 }
 
--- a/libs/entry/src/HttpText.cpp
+++ b/libs/entry/src/HttpText.cpp
@@ -11,35 +11,28 @@
 
 namespace {
 
-constexpr std::array kConnectionHeaders{
-  http::field::connection,       http::field::keep_alive,
-  http::field::proxy_connection, http::field::te,
-  http::field::trailer,          http::field::transfer_encoding,
-  http::field::upgrade,          http::field::content_length,
-  http::field::expect,           http::field::http2_settings
+constexpr std::array<std::string_view, 10> kConnectionHeaders{
+  "Connection",        "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+  "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect", "HTTP2-Settings"
 };
 
 // Returns the names listed in the Connection header: those headers concern only the connection too.
-std::vector<std::string> namedByConnection(const wire::Fields& fields)
+std::vector<std::string_view> namedByConnection(const base::HeaderFields& fields)
 {
-  std::vector<std::string> names;
-  for (const auto& token : http::token_list(fields[http::field::connection])) {
-    names.emplace_back(token);
+  const std::string_view value = fields.valueOf("Connection");
+  std::vector<std::string_view> names;
+  for (const auto& token : http::token_list({ value.data(), value.size() })) {
+    names.push_back(toStringView(token));
   }
   return names;
 }
 
-bool concernsConnection(const wire::Fields::value_type& field,
-                        const std::vector<std::string>& connectionTokens)
+bool concernsConnection(std::string_view name,
+                        const std::vector<std::string_view>& connectionTokens)
 {
-  if (std::find(kConnectionHeaders.begin(), kConnectionHeaders.end(), field.name()) !=
-      kConnectionHeaders.end()) {
-    return true;
-  }
-  return std::any_of(
-    connectionTokens.begin(), connectionTokens.end(), [&](const std::string& name) {
-      return boost::beast::iequals(name, field.name_string());
-    });
+  const auto isName = [name](std::string_view other) { return base::equalFieldNames(name, other); };
+  return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), isName) ||
+         std::any_of(connectionTokens.begin(), connectionTokens.end(), isName);
 }
 
 void appendHeader(std::string& out, std::string_view name, std::string_view value)
@@ -75,15 +68,15 @@
 CallerAnswer toCallerAnswer(ServerAnswer&& message)
 {
   CallerAnswer answer;
-  answer.status = message.result_int();
-  answer.reason = std::string(toStringView(message.reason()));
-  const auto connectionTokens = namedByConnection(message);
-  for (const auto& field : message) {
-    if (!concernsConnection(field, connectionTokens)) {
-      appendHeader(answer.headers, toStringView(field.name_string()), toStringView(field.value()));
+  answer.status = message.status;
+  answer.reason = std::move(message.reason);
+  const auto connectionTokens = namedByConnection(message.fields);
+  for (const base::HeaderField& field : message.fields) {
+    if (!concernsConnection(field.name, connectionTokens)) {
+      appendHeader(answer.headers, field.name, field.value);
     }
   }
-  answer.body = std::move(message.body());
+  answer.body = std::move(message.body);
   return answer;
 }
 
@@ -113,16 +106,13 @@
                                base::Duration timeLeft)
 {
   std::string out;
-  out.reserve(request.body().size() + 512);
-  out.append(toStringView(request.method_string()))
-    .append(" ")
-    .append(toStringView(request.target()));
+  out.reserve(request.body.size() + 512);
+  out.append(request.method).append(" ").append(request.target);
   out.append(" HTTP/1.1\r\n");
-  const auto connectionTokens = namedByConnection(request);
-  for (const auto& field : request) {
-    if (!concernsConnection(field, connectionTokens) &&
-        !wire::isSetByRouter(toStringView(field.name_string()))) {
-      appendHeader(out, toStringView(field.name_string()), toStringView(field.value()));
+  const auto connectionTokens = namedByConnection(request.fields);
+  for (const base::HeaderField& field : request.fields) {
+    if (!concernsConnection(field.name, connectionTokens) && !wire::isSetByRouter(field.name)) {
+      appendHeader(out, field.name, field.value);
     }
   }
   wire::appendServerHeaders(
@@ -130,11 +120,10 @@
   if (workspace != nullptr) {
     wire::appendWorkspace(out, *workspace);
   }
-  const bool hadBody = request.has_content_length() || request.chunked() || !request.body().empty();
-  if (hadBody) {
-    appendHeader(out, "Content-Length", std::to_string(request.body().size()));
+  if (request.hasBody || !request.body.empty()) {
+    appendHeader(out, "Content-Length", std::to_string(request.body.size()));
   }
-  out.append("\r\n").append(request.body());
+  out.append("\r\n").append(request.body);
   return out;
 }
 
--- a/libs/entry/src/OwnershipAnswers.cpp
+++ b/libs/entry/src/OwnershipAnswers.cpp
@@ -12,7 +12,7 @@
   if (result.end != ExchangeEnd::Answered) {
     return dispatch::GrantAnswer::OutcomeUnknown;
   }
-  const dispatch::GrantAnswer answer = wire::readGrantAnswer(result.answer.result_int());
+  const dispatch::GrantAnswer answer = wire::readGrantAnswer(result.answer.status);
   return answer == dispatch::GrantAnswer::OtherServer && result.reused
            ? dispatch::GrantAnswer::OutcomeUnknown
            : answer;
@@ -24,7 +24,7 @@
   if (result.end == ExchangeEnd::NotSent) {
     answer.kind = dispatch::ReleaseAnswer::Kind::NotSent;
   } else if (result.end == ExchangeEnd::Answered && !result.reused) {
-    answer = wire::readReleaseAnswer(result.answer.result_int(), result.answer);
+    answer = wire::readReleaseAnswer(result.answer.status, result.answer.fields);
   }
   return answer;
 }
--- a/libs/entry/src/ReadinessServer.cpp
+++ b/libs/entry/src/ReadinessServer.cpp
@@ -63,7 +63,7 @@
 
   void answer(const Request& request)
   {
-    const std::string_view path = toStringView(request.target());
+    const std::string_view path = request.target;
     CallerAnswer result;
     if (wire::isReadinessPath(path)) {
       result = ready() ? makeAnswer(200, "", "ready") : makeAnswer(503, "", "not ready");
@@ -72,7 +72,7 @@
     } else {
       result = makeAnswer(404, "", "unknown path");
     }
-    const bool close = !request.keep_alive();
+    const bool close = !request.isKeepAlive;
     out = writeAnswer(result, close, false);
     asio::async_write(socket,
                       asio::buffer(out),
--- a/libs/entry/src/RequestDigest.cpp
+++ b/libs/entry/src/RequestDigest.cpp
@@ -8,9 +8,9 @@
 
 std::uint64_t digestOf(const Request& request)
 {
-  std::string requestText(toStringView(request.method_string()));
-  requestText.append(" ").append(toStringView(request[http::field::host]));
-  requestText.append(toStringView(request.target())).append("\n").append(request.body());
+  std::string requestText = request.method;
+  requestText.append(" ").append(request.fields.valueOf("Host"));
+  requestText.append(request.target).append("\n").append(request.body);
   return base::hashBytes(requestText);
 }
 
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -45,7 +45,7 @@
                                Dispatcher::Deliver deliver)
   : dispatcher_(dispatcher)
   , request_(std::move(request))
-  , metadata_(wire::readRequestMetadata(request_))
+  , metadata_(wire::readRequestMetadata(request_.fields))
   , deliver_(std::move(deliver))
   , beganAt_(beganAt)
   , answerDeadline_(beganAt + kDefaultTimeout)
@@ -61,8 +61,7 @@
     refuse("this entry VM has no configuration yet", kNotReadyRetryDelay);
     return;
   }
-  route_ = dispatcher_.routes_->find(toStringView(request_[http::field::host]),
-                                     toStringView(request_.target()));
+  route_ = dispatcher_.routes_->find(request_.fields.valueOf("Host"), request_.target);
   if (route_ == nullptr) {
     ++dispatcher_.counts_.refusedNoRoute;
     fail(404, "no route matches the request's host and path");
@@ -222,7 +221,7 @@
                        workspaceAdmission_ ? &workspaceAdmission_->workspace().id : nullptr,
                        answerDeadline_ - now),
     metadata_.requestId,
-    request_.method() == http::verb::head,
+    request_.method == "HEAD",
     std::min(answerDeadline_, now + kConnectTimeout),
     [self = shared_from_this()](ExchangeResult result) { self->onResult(std::move(result)); });
 }
@@ -232,13 +231,13 @@
   const base::TimePoint now = clockNow();
   const bool isKeyed = dispatcher_.isKeyed(service_);
   dispatcher_.recordExchange(*pool_, result, now);
-  const auto answerMetadata = wire::readAnswerMetadata(result.answer.result_int(), result.answer);
+  const auto answerMetadata = wire::readAnswerMetadata(result.answer.status, result.answer.fields);
   dispatch::ServerLoad& load = pool_->load();
   const bool answered = result.end == ExchangeEnd::Answered;
   // With status 421, another server may have answered. An answer without the request's id may be
   // another request's.
   if (answered && answerMetadata.requestId == metadata_.requestId &&
-      !wire::isMisdirected(result.answer.result_int())) {
+      !wire::isMisdirected(result.answer.status)) {
     dispatcher_.notices_.onAnswer(*pool_, answerMetadata, sentAt_);
   }
   const std::string incarnation = dispatch::incarnationOf(pool_->server().id, pool_->server().born);
@@ -328,8 +327,8 @@
 {
   const base::TimePoint now = clockNow();
   setQuotaUsed(mayHaveRun_);
-  const unsigned status = answer.result_int();
-  const auto load = wire::readAnswerMetadata(status, answer).load;
+  const unsigned status = answer.status;
+  const auto load = wire::readAnswerMetadata(status, answer.fields).load;
   // A server that refuses while it has free slots does so for another reason and may accept the
   // next request.
   const bool isFull = !load || load->running >= load->slots;
--- a/libs/entry/src/RequestInput.cpp
+++ b/libs/entry/src/RequestInput.cpp
@@ -86,7 +86,7 @@
 bool RequestInput::expectsContinue() const
 {
   return isReceiving() && hasBegun_ && !continueSent_ && reader_.headerDone() &&
-         boost::beast::iequals(reader_.message()[http::field::expect], "100-continue");
+         base::equalFieldNames(reader_.message().fields.valueOf("Expect"), "100-continue");
 }
 
 void RequestInput::onContinueSent(const dispatch::CallerLimits& limits, base::TimePoint now)
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -31,11 +31,7 @@
 // Returns the timeout announced by the Keep-Alive header less the margin, or the default.
 base::Duration announcedIdleTimeout(const ServerAnswer& answer)
 {
-  const auto found = answer.find(http::field::keep_alive);
-  if (found == answer.end()) {
-    return kDefaultIdleTimeout;
-  }
-  const std::string_view text = toStringView(found->value());
+  const std::string_view text = answer.fields.valueOf("Keep-Alive");
   const std::size_t at = text.find("timeout=");
   if (at == std::string_view::npos) {
     return kDefaultIdleTimeout;
@@ -212,7 +208,7 @@
   }
   const ReadState state = reader_.feed(in_);
   // Checked before the body, which may have no end where the status isn't known.
-  if (reader_.headerDone() && !base::isAnswerStatus(reader_.message().result_int())) {
+  if (reader_.headerDone() && !base::isAnswerStatus(reader_.message().status)) {
     finish(ExchangeEnd::Malformed);
     return;
   }
@@ -232,8 +228,8 @@
 void ServerConnection::onAnswer()
 {
   const ServerAnswer& answer = reader_.message();
-  const auto facts = wire::readAnswerMetadata(answer.result_int(), answer);
-  const bool isInterim = answer.result_int() < 200;
+  const auto facts = wire::readAnswerMetadata(answer.status, answer.fields);
+  const bool isInterim = answer.status < 200;
   isIdentified_ = !facts.requestId.empty() && facts.requestId == requestId_;
   const bool isForOtherRequest = !facts.requestId.empty() && facts.requestId != requestId_;
   // Without an id, the answer may be a late copy of the answer to an earlier request.
@@ -276,7 +272,7 @@
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.memory = std::move(memory_);
-    result.reusable = isOpen_ && requestWritten_ && in_.empty() && result.answer.keep_alive();
+    result.reusable = isOpen_ && requestWritten_ && in_.empty() && result.answer.isKeepAlive;
     lastAnswerAt_ = clockNow();
     reusableUntil_ = lastAnswerAt_ + announcedIdleTimeout(result.answer);
   }
--- a/libs/entry/src/StoreClient.cpp
+++ b/libs/entry/src/StoreClient.cpp
@@ -29,7 +29,7 @@
   if (result.end != ExchangeEnd::Answered) {
     return StoreOutcome::Unknown;
   }
-  switch (result.answer.result_int()) {
+  switch (result.answer.status) {
     case 200:
     case 201:
       return StoreOutcome::Done;
@@ -170,7 +170,7 @@
                 // The store belongs to no failure domain.
                 bytes_.add("store", false, result.bytes);
                 const bool isAnswered = result.end == ExchangeEnd::Answered;
-                const std::optional<std::uint64_t> named = wire::readEra(result.answer);
+                const std::optional<std::uint64_t> named = wire::readEra(result.answer.fields);
                 StoreAnswer answer = readResult(std::move(result), sentAt);
                 answer.era = era();
                 if (isAnswered && named.has_value()) {
@@ -205,7 +205,7 @@
   const base::TimePoint now = clockNow();
   StoreAnswer answer;
   answer.outcome = outcomeOf(result);
-  answer.body = std::move(result.answer.body());
+  answer.body = std::move(result.answer.body);
   answer.timedOut = result.timedOut;
   answer.idleClosed = result.idleClosed;
   answer.elapsed = now - sentAt;
--- a/libs/entry/src/WorkspaceGate.cpp
+++ b/libs/entry/src/WorkspaceGate.cpp
@@ -40,8 +40,8 @@
   if (!directory_ || !directory_->requiresKeys()) {
     return {};
   }
-  const std::string apiKey = wire::readApiKey(request);
-  wire::removeWorkspaceHeaders(request);
+  const std::string apiKey = wire::readApiKey(request.fields);
+  wire::removeWorkspaceHeaders(request.fields);
   if (route.isPublic) {
     return {};
   }
--- a/libs/entry/tests/DispatcherFixture.cpp
+++ b/libs/entry/tests/DispatcherFixture.cpp
@@ -121,15 +121,12 @@
                                    const std::string& body)
 {
   Request request;
-  request.method_string(method);
-  request.target(path);
-  request.version(11);
-  request.set(http::field::host, "shop.example");
-  wire::testing::setCallerHeaders(request, "r" + std::to_string(++nextId_), kPatience, 77);
-  if (!body.empty()) {
-    request.body() = body;
-    request.content_length(body.size());
-  }
+  request.method = method;
+  request.target = path;
+  request.fields.set("Host", "shop.example");
+  wire::testing::setCallerHeaders(request.fields, "r" + std::to_string(++nextId_), kPatience, 77);
+  request.body = body;
+  request.hasBody = !body.empty();
   return request;
 }
 
--- a/libs/entry/tests/MutationTest.cpp
+++ b/libs/entry/tests/MutationTest.cpp
@@ -86,7 +86,7 @@
     CHECK(buffer.size() <= text.size());
     if (state == ReadState::Done) {
       hasRead = true;
-      CHECK(reader.take().body().size() <= kBodyLimit);
+      CHECK(reader.take().body.size() <= kBodyLimit);
       reader.start(kHeaderLimit, kBodyLimit);
     }
   }
--- a/libs/entry/tests/WorkspaceTest.cpp
+++ b/libs/entry/tests/WorkspaceTest.cpp
@@ -35,10 +35,10 @@
   {
     Request sent = request("GET", "/read/x", "");
     if (!apiKey.empty()) {
-      setApiKey(sent, apiKey);
+      setApiKey(sent.fields, apiKey);
     }
     if (!ownWorkspace.empty()) {
-      setWorkspace(sent, ownWorkspace);
+      setWorkspace(sent.fields, ownWorkspace);
     }
     std::optional<CallerAnswer> answer;
     const auto handler = begin(std::move(sent), [&](CallerAnswer got) { answer = std::move(got); });
