Read a header to its limit, also beyond what is read ahead

What callers would see: with a header limit above 256 KiB, a request with a larger header is answered 408, as the connection stops reading halfway. Cause: the bound on bytes that are read ahead of waiting requests also held for the request that is being received, whose bytes stay unread until its header is whole. Evidence: the new case of MessageSizeTest (300,000 bytes, limit 512 KiB) failed before. Change: the bound holds only while a complete request waits; otherwise the limits do.

--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -107,7 +107,9 @@
 
 void CallerConnection::read()
 {
-  if (readPending_ || closed_ || input_.unreadBytes() > kMaxReadAhead) {
+  // The limits bound the bytes of a request that is being received.
+  const bool mayRead = input_.isReceiving() || input_.unreadBytes() <= kMaxReadAhead;
+  if (readPending_ || closed_ || !mayRead) {
     return;
   }
   readPending_ = true;
--- a/libs/entry/tests/MessageSizeTest.cpp
+++ b/libs/entry/tests/MessageSizeTest.cpp
@@ -83,6 +83,15 @@
   CHECK(fixture.isServing());
 }
 
+// Guards against a header within the limit that the connection stops reading halfway.
+TEST_CASE("a header larger than what is read ahead is passed on whole")
+{
+  Fixture fixture;
+  fixture.configuration().limits.headerBytes = 512 * 1024;
+  fixture.publish();
+  CHECK(fixture.passesOnCookie(300'000));
+}
+
 // Guards against bytes behind a waiting request that are parsed in one piece, past all limits.
 TEST_CASE("a long trailer that has collected behind a waiting request is refused")
 {
