Replace a limit that can't be used, and keep the rest of the configuration

What callers would see: a header limit of 0 or 2^32 makes each VM refuse every request with 431, a time of 0 answers 408; a text or null in one limit leaves the whole configuration out, new routes included. Cause: the limits were converted as they came, and a wrong type threw out of decodeConfiguration(). Change: CallerLimitsReader replaces what can't be used by the default, and what can't be represented by the largest value; limit_adjusted tells the operator.

--- a/libs/dispatch/include/dispatch/Configuration.h
+++ b/libs/dispatch/include/dispatch/Configuration.h
@@ -85,6 +85,17 @@
   base::Duration idleTimeout = std::chrono::seconds(15);
 };
 
+// A limit that this VM can't apply as the operators have set it.
+struct AdjustedLimit
+{
+  // Name of the member of CallerLimits; empty for all of them.
+  std::string name;
+  // The configured value as text.
+  std::string configured;
+  // The value in force, in bytes or seconds.
+  double inForce = 0;
+};
+
 // One version of the configuration that operators maintain.
 struct Configuration
 {
@@ -92,6 +103,7 @@
   std::vector<Route> routes;
   std::map<base::ServiceId, ServicePolicy> services;
   CallerLimits limits;
+  std::vector<AdjustedLimit> adjustedLimits;
   // Kinds of routes that this version of the router doesn't know. Their requests are at most once.
   std::set<std::string> unknownRouteKinds;
   // Without a value, requests need no key.
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -263,6 +263,13 @@
     for (const std::string& kind : configuration->unknownRouteKinds) {
       log_.write("route_kind_unknown", { { "version", configuration->version }, { "kind", kind } });
     }
+    for (const dispatch::AdjustedLimit& limit : configuration->adjustedLimits) {
+      log_.write("limit_adjusted",
+                 { { "version", configuration->version },
+                   { "limit", limit.name },
+                   { "configured", limit.configured },
+                   { "in_force", limit.inForce } });
+    }
     isConfigurationInForce_ = true;
     view_.configuration = std::move(configuration);
     quotaSharing_.setConfiguration(view_.configuration);
