Let an exception end its handler and connection, not the process

Cause: nothing limited what an exception ends. Catching alone would leave connections, timers and readers waiting for a handler that won't come. Change: runEventLoop() logs handler_failed and goes on; a caller's connection is closed, an exchange with a server ends as 'may have run'; timers, acceptors and readers are armed before they work.

--- a/libs/entry/include/entry/CallerConnection.h
+++ b/libs/entry/include/entry/CallerConnection.h
@@ -41,6 +41,19 @@
   void endRequests();
 
 private:
+  // Runs a handler. If it throws, the state of the connection isn't known: closes it and passes the
+  // exception on to the event loop.
+  template<typename Handler>
+  void closeOnFailure(Handler&& handler)
+  {
+    try {
+      handler();
+    } catch (...) {
+      close();
+      throw;
+    }
+  }
+
   // Returns whether bytes of a further request have arrived.
   bool hasUnreadBytes() const;
   void read();
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -122,7 +122,22 @@
   }
 
 private:
+  // Runs a handler. If it throws, ends the exchange, unless its callback has been called, closes
+  // the connection and passes the exception on to the event loop.
+  template<typename Handler>
+  void endOnFailure(Handler&& handler)
+  {
+    try {
+      handler();
+    } catch (...) {
+      finish(ExchangeEnd::Malformed);
+      close();
+      throw;
+    }
+  }
+
   void connect(base::TimePoint connectDeadline);
+  void onConnected(const error_code& error);
   // Sends the request unless the new connection ends within a moment.
   void sendUnlessReset();
   void send();
--- a/libs/entry/src/CallerConnection.cpp
+++ b/libs/entry/src/CallerConnection.cpp
@@ -116,7 +116,7 @@
   socket_.async_read_some(asio::buffer(chunk_),
                           [self = shared_from_this()](const error_code& error, std::size_t count) {
                             self->readPending_ = false;
-                            self->onBytes(error, count);
+                            self->closeOnFailure([&] { self->onBytes(error, count); });
                           });
 }
 
@@ -206,7 +206,7 @@
   auto handler = server_.dispatcher_.handle(
     std::move(received.request), received.beganAt, [weak, number](CallerAnswer answer) {
       if (const auto self = weak.lock()) {
-        self->onAnswer(number, std::move(answer));
+        self->closeOnFailure([&] { self->onAnswer(number, std::move(answer)); });
       }
     });
   answers_.setRepeatability(number, handler->repeatability());
@@ -291,7 +291,7 @@
   out_ = std::move(bytes);
   asio::async_write(
     socket_, asio::buffer(out_), [self = shared_from_this()](const error_code& error, std::size_t) {
-      self->onWritten(error);
+      self->closeOnFailure([&] { self->onWritten(error); });
     });
 }
 
@@ -372,7 +372,7 @@
   timer_.async_wait([weak = weak_from_this()](const error_code& error) {
     const auto self = weak.lock();
     if (!error && self) {
-      self->onTimer();
+      self->closeOnFailure([&] { self->onTimer(); });
     }
   });
 }
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -612,6 +612,13 @@
 void EntryControl::tick()
 {
   const HandlerScope scope("control_tick");
+  // Armed first, so that the next tick comes even if this one fails.
+  tickTimer_.expires_after(kTickInterval);
+  tickTimer_.async_wait([this](const error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
   const base::TimePoint now = clockNow();
   if (coordinatorRole_.active()) {
     updateCoordinator();
@@ -635,12 +642,6 @@
   }
   reportIfDue(now);
   loadSharing_.tick(view_, now);
-  tickTimer_.expires_after(kTickInterval);
-  tickTimer_.async_wait([this](const error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
 }
 
 // In a large deployment, the first successors notice for all that the store isn't watched.
--- a/libs/entry/src/Listener.cpp
+++ b/libs/entry/src/Listener.cpp
@@ -62,8 +62,8 @@
       });
       return;
     }
-    accepted_(std::move(socket));
     accept();
+    accepted_(std::move(socket));
   });
 }
 
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -75,12 +75,12 @@
       if (error == asio::error::operation_aborted) {
         return;
       }
-      if (!error) {
-        if (auto message = decodePeerMessage(std::string(buffer_.data(), count))) {
-          received_(std::move(*message), from_.address().to_string());
-        }
-      }
+      const std::string bytes(buffer_.data(), error ? 0 : count);
+      const std::string from = from_.address().to_string();
       receive();
+      if (auto message = decodePeerMessage(bytes)) {
+        received_(std::move(*message), from);
+      }
     });
 }
 
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -92,39 +92,44 @@
   connectTimer_.expires_at(toSteadyClock(connectDeadline));
   connectTimer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (!error && !self->isOpen_) {
-      self->finish(ExchangeEnd::NotSent);
+      self->endOnFailure([&] { self->finish(ExchangeEnd::NotSent); });
     }
   });
   error_code ignored;
   const tcp::endpoint endpoint(asio::ip::make_address(server_.ip, ignored), server_.port);
   socket_.async_connect(endpoint, [self = shared_from_this()](const error_code& error) {
-    self->connectTimer_.cancel();
-    if (self->closed_ || !self->finished_) {
-      return;
-    }
-    if (error) {
-      self->finish(ExchangeEnd::NotSent);
-      return;
-    }
-    error_code optionError;
-    self->socket_.set_option(tcp::no_delay(true), optionError);
-    self->isOpen_ = true;
-    self->openedAt_ = clockNow();
-    if (self->awaitsEarlyReset_) {
-      self->sendUnlessReset();
-    } else {
-      self->send();
-    }
+    self->endOnFailure([&] { self->onConnected(error); });
   });
 }
 
+void ServerConnection::onConnected(const error_code& error)
+{
+  connectTimer_.cancel();
+  if (closed_ || !finished_) {
+    return;
+  }
+  if (error) {
+    finish(ExchangeEnd::NotSent);
+    return;
+  }
+  error_code optionError;
+  socket_.set_option(tcp::no_delay(true), optionError);
+  isOpen_ = true;
+  openedAt_ = clockNow();
+  if (awaitsEarlyReset_) {
+    sendUnlessReset();
+  } else {
+    send();
+  }
+}
+
 void ServerConnection::sendUnlessReset()
 {
   read();
   connectTimer_.expires_at(toSteadyClock(openedAt_ + kEarlyResetWait));
   connectTimer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (!error && !self->closed_ && self->finished_) {
-      self->send();
+      self->endOnFailure([&] { self->send(); });
     }
   });
 }
@@ -147,7 +152,7 @@
       }
       self->requestWritten_ = !error;
       if (error && count == 0) {
-        self->finish(ExchangeEnd::NotSent);
+        self->endOnFailure([&] { self->finish(ExchangeEnd::NotSent); });
       }
       // Otherwise, a failed write is followed by a failed read, after any bytes that can still be
       // read.
@@ -163,7 +168,7 @@
   socket_.async_read_some(asio::buffer(chunk_),
                           [self = shared_from_this()](const error_code& error, std::size_t count) {
                             self->readPending_ = false;
-                            self->onBytes(error, count);
+                            self->endOnFailure([&] { self->onBytes(error, count); });
                           });
 }
 
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <base/Error.h>
 #include <entry/CrashLine.h>
+#include <entry/EventLoop.h>
 #include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 #include <telemetry/PrometheusText.h>
@@ -139,19 +140,23 @@
   awaitSettingsChange();
   reportToControl();
   const auto controlWork = asio::make_work_guard(control_);
-  std::thread control([this] {
-    entryControl_.start();
-    control_.run();
-  });
-  // An exception must not unwind past the control thread, which would hide it.
-  const auto runTraffic = [this]() noexcept { traffic_.run(); };
-  runTraffic();
+  const auto failed = [this](const HandlerFailure& failure) { onHandlerFailed(failure); };
+  asio::post(control_, [this] { entryControl_.start(); });
+  std::thread control([this, failed] { runEventLoop(control_, failed); });
+  runEventLoop(traffic_, failed);
   control_.stop();
   control.join();
   log_.write("stop", { { "received", dispatcher_.counts().received } });
   return 0;
 }
 
+// Called by both threads.
+void EntryProcess::onHandlerFailed(const HandlerFailure& failure)
+{
+  ++handlersFailed_;
+  log_.write("handler_failed", toJson(failure));
+}
+
 void EntryProcess::onView(std::shared_ptr<const dispatch::RoutingView> view)
 {
   view_ = view;
@@ -165,12 +170,12 @@
     if (error) {
       return;
     }
+    reportToControl();
     asio::post(control_, [this, report = dispatcher_.takeReport()]() mutable {
       const HandlerScope scope("traffic_report");
       entryControl_.recordTraffic(std::move(report));
       asio::post(traffic_, [this, status = entryControl_.status()] { onStatus(status); });
     });
-    reportToControl();
   });
 }
 
@@ -218,12 +223,12 @@
     if (error) {
       return;
     }
+    awaitSignal();
     if (signal == SIGHUP) {
       reload("signal");
     } else {
       beginDrain();
     }
-    awaitSignal();
   });
 }
 
@@ -233,8 +238,8 @@
   settingsTimer_.expires_after(kSettingsCheckInterval);
   settingsTimer_.async_wait([this](const error_code& error) {
     if (!error) {
-      reload("change");
       awaitSettingsChange();
+      reload("change");
     }
   });
 }
@@ -354,6 +359,7 @@
   appendMetric("refused_no_quota_answer_total", counts.refusedNoQuotaAnswer);
   appendMetric("quota_questions_total", counts.quotaQuestions);
   appendMetric("log_lines_dropped_total", log_.dropped());
+  appendMetric("handlers_failed_total", handlersFailed_);
   appendMetric("configuration_version",
                view_ && view_->configuration ? view_->configuration->version : 0);
   appendMetric("ownership_epoch", view_ && view_->ownership ? view_->ownership->epoch : 0);
--- a/programs/sycamore-entry/src/EntryProcess.h
+++ b/programs/sycamore-entry/src/EntryProcess.h
@@ -2,11 +2,13 @@
 
 #include <entry/CallerServer.h>
 #include <entry/EntryControl.h>
+#include <entry/HandlerFailure.h>
 #include <entry/ReadinessServer.h>
 
 #include <boost/asio/signal_set.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -27,6 +29,7 @@
   int run();
 
 private:
+  void onHandlerFailed(const HandlerFailure& failure);
   void onView(std::shared_ptr<const dispatch::RoutingView> view);
   void reportToControl();
   void onStatus(const ControlStatus& status);
@@ -43,6 +46,8 @@
   std::string lastSettingsError_;
   std::uint64_t runId_;
   EventLog log_;
+  // Number of handlers that an exception has left, on both threads.
+  std::atomic<std::uint64_t> handlersFailed_{ 0 };
   asio::io_context traffic_{ 1 };
   asio::io_context control_{ 1 };
   Dispatcher dispatcher_;
