--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -9,6 +9,7 @@
 #include <entry/ObjectMirror.h>
 #include <entry/PeerLink.h>
 #include <entry/QuotaSharing.h>
+#include <entry/ServerEntries.h>
 #include <entry/SteadyTime.h>
 #include <entry/VmRegistry.h>
 
@@ -143,8 +144,7 @@
   dispatch::OwnershipCopy ownership_;
   asio::steady_timer tickTimer_;
   dispatch::RoutingView view_;
-  // Revision of the store's object from which each server was last decoded, by name.
-  std::map<std::string, std::uint64_t> serverRevisions_;
+  ServerEntries serverEntries_;
   dispatch::LeavingServers leavingServers_;
   dispatch::FormerServers formerServers_;
   dispatch::PeerTable peerTable_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -1,5 +1,6 @@
 #include <entry/EntryControl.h>
 
+#include <entry/ConfigurationLog.h>
 #include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
@@ -122,6 +123,7 @@
   , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
   , ownership_({}, clockNow())
   , tickTimer_(context)
+  , serverEntries_(log)
   , peerTable_({})
   , vmRegistry_(
       context,
@@ -254,22 +256,7 @@
         { { "version", configuration->version }, { "in_force", view_.configuration->version } });
       return;
     }
-    log_.write(
-      "configuration",
-      { { "version", configuration->version },
-        { "revision", found->second.revision },
-        { "routes", configuration->routes.size() },
-        { "workspaces", configuration->workspaces ? configuration->workspaces->size() : 0 } });
-    for (const std::string& kind : configuration->unknownRouteKinds) {
-      log_.write("route_kind_unknown", { { "version", configuration->version }, { "kind", kind } });
-    }
-    for (const dispatch::AdjustedLimit& limit : configuration->adjustedLimits) {
-      log_.write("limit_adjusted",
-                 { { "version", configuration->version },
-                   { "limit", limit.name },
-                   { "configured", limit.configured },
-                   { "in_force", limit.inForce } });
-    }
+    logConfiguration(log_, *configuration, found->second.revision);
     isConfigurationInForce_ = true;
     view_.configuration = std::move(configuration);
     quotaSharing_.setConfiguration(view_.configuration);
@@ -282,46 +269,12 @@
 void EntryControl::onServers(const ObjectMirror::Objects& objects)
 {
   const base::TimePoint now = clockNow();
-  auto servers = std::make_shared<std::map<base::ServerId, dispatch::BackendServer>>();
-  std::map<std::string, std::uint64_t> revisions;
-  for (const auto& [name, object] : objects) {
-    const auto known = serverRevisions_.find(name);
-    const base::ServerId id(name);
-    const bool unchanged = known != serverRevisions_.end() && known->second == object.revision &&
-                           view_.servers && view_.servers->contains(id);
-    std::string decodeError;
-    const auto server = unchanged ? std::optional(view_.servers->at(id))
-                                  : wire::decodeServer(object, now, decodeError);
-    if (!server) {
-      if (known == serverRevisions_.end() || known->second != object.revision) {
-        log_.write("server_entry_unreadable", { { "name", name }, { "error", decodeError } });
-      }
-      revisions[name] = object.revision;
-      continue;
-    }
-    if (!unchanged) {
-      log_.write("server",
-                 { { "id", name },
-                   { "service", server->service.value() },
-                   { "address", server->address },
-                   { "born", server->born },
-                   { "draining", server->draining || object.deleting } });
-    }
-    revisions[name] = object.revision;
-    (*servers)[id] = *server;
-    (*servers)[id].draining = server->draining || object.deleting;
-  }
+  auto servers = serverEntries_.decode(objects, view_.servers.get(), now);
   if (view_.servers) {
-    for (const auto& [id, server] : *view_.servers) {
-      if (!servers->contains(id)) {
-        log_.write("server_gone", { { "id", id.value() } });
-      }
-    }
     formerServers_.onServersChanged(*view_.servers, *servers, now);
   }
   leavingServers_.apply(*servers);
   limitSharing_.retain(*servers);
-  serverRevisions_ = std::move(revisions);
   view_.servers = std::move(servers);
   publish();
 }
