--- a/tests/entry/ServerLimitTest.cpp
+++ b/tests/entry/ServerLimitTest.cpp
@@ -1,3 +1,5 @@
+#include "ProgramFolder.h"
+
 #include <Deployment.h>
 #include <ServerTexts.h>
 #include <StoreTexts.h>
@@ -69,25 +71,6 @@
   Listening listening_;
 };
 
-// A folder with a deploy file that names the program of this build.
-class ProgramFolder
-{
-public:
-  ProgramFolder()
-  {
-    path_ = (std::filesystem::temp_directory_path() / "entry-e2e-XXXXXX").string();
-    REQUIRE(mkdtemp(path_.data()) != nullptr);
-    std::filesystem::create_directory(path_ + "/deploy");
-    std::ofstream(path_ + "/deploy/system.toml") << "run = \"" ENTRY_PROGRAM "\"\n";
-  }
-  ~ProgramFolder() { std::filesystem::remove_all(path_); }
-
-  const std::string& path() const { return path_; }
-
-private:
-  std::string path_;
-};
-
 std::size_t countBetween(const std::vector<Clock::time_point>& times,
                          Clock::time_point from,
                          Clock::time_point to)
