Let a list of the store make progress, or fail and be tried again after a pause

A page of items without readable names ended the list as if it were complete, so that the servers behind it counted as gone. A name in which bytes were replaced while it was read named another place of the list than its own.

It compares names for equality only, since the protocol doesn't tell their order. A list continues after the last name that is valid UTF-8, or else after the bytes that the store sent. A failure is logged (list_incomplete) and the list tried again after the usual delay; what was known stays in use.

A VM that has started and can't read a page would know no server. 2 s after its first failed list it uses the pages that it has read, besides what it knew; they make it neither current nor a relay.

--- a/libs/entry/include/entry/ObjectMirror.h
+++ b/libs/entry/include/entry/ObjectMirror.h
@@ -6,6 +6,7 @@
 
 #include <dispatch/CopyFreshness.h>
 #include <dispatch/DeletedObjects.h>
+#include <dispatch/ListPages.h>
 #include <dispatch/ReadRetry.h>
 #include <dispatch/RelayedCopy.h>
 #include <dispatch/RestorationGrace.h>
@@ -47,7 +48,8 @@
 
 // Keeps a copy of all objects of one kind: lists them, then follows the changes either by its own
 // watches or by the messages of the relaying VM, which watches the store for all VMs. While the
-// store can't be reached, the last copy stays in use. Control thread only.
+// store can't be reached, the last copy stays in use. If lists fail for a while before their end,
+// the pages that they read are used besides. Control thread only.
 class ObjectMirror
 {
 public:
@@ -116,9 +118,16 @@
     AwaitingRetry
   };
 
-  void list(const std::string& after);
-  void onList(const StoreAnswer& answer);
+  // Lists all objects from the first page on.
+  void list();
+  void readPage();
+  void onPage(const StoreAnswer& answer);
+  void onListed();
+  // The list can't be read to its end now. `timedOut`: the last call got no answer in time.
+  void onListFailure(const char* reason, bool timedOut);
   void adoptList(const char* path);
+  Objects objectsWithPages() const;
+  void notifyObjectsChanged();
   void watch();
   void onWatch(const StoreAnswer& answer);
   // Records up to which time the answer of a watch shows that the copy holds all changes.
@@ -140,7 +149,7 @@
   void onStoreReached();
   // Logs that this number of objects in an answer were left out.
   void logUnreadable(std::size_t objects);
-  void onUnreadable(const wire::WireError& error);
+  void logUnreadable(const wire::WireError& error);
   // `timedOut`: the call got no answer in time.
   void onStoreFailure(bool timedOut);
   void catchUp();
@@ -164,8 +173,13 @@
   // Patches of the change to revision `patchesRevision_`, by the change's part.
   std::map<unsigned, std::vector<ObjectPatch>> pendingPatches_;
   std::uint64_t patchesRevision_ = 0;
+  dispatch::ListPages listPages_;
   // Objects of the pages that the current list has read so far.
   Objects listedObjects_;
+  // Objects of the pages that the last incomplete list has read, while lists fail.
+  Objects pagesInUse_;
+  // Time since which no list was complete, while lists fail.
+  std::optional<base::TimePoint> listFailingSince_;
   dispatch::WatchCursor cursor_;
   dispatch::RelayedCopy relayedCopy_;
   dispatch::CopyFreshness freshness_;
--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -19,6 +19,9 @@
 // Delay after which the revision of a watch without events is used. The store's watches may miss
 // changes for about a second before the store ends them.
 constexpr base::Duration kCursorTrustDelay = std::chrono::seconds(5);
+// Time after the first failed list from which on the pages of an incomplete one are used. Most
+// failures of the store end sooner, and an object that is only missing would count as deleted.
+constexpr base::Duration kPagesUseDelay = std::chrono::seconds(2);
 
 std::int64_t toMilliseconds(base::Duration duration)
 {
@@ -48,6 +51,7 @@
   , changeReadListener_(std::move(changeReadListener))
   , timer_(context)
   , random_(settings.seed)
+  , listPages_({})
   , cursor_(kCursorTrustDelay)
   , relayedCopy_({})
   , freshness_({})
@@ -58,7 +62,7 @@
 
 void ObjectMirror::start()
 {
-  list("");
+  list();
 }
 
 void ObjectMirror::tick(bool isRelay, bool isStandby, base::TimePoint now)
@@ -70,7 +74,7 @@
   }
   const bool mustList = isOutdated_ || restorationGrace_.takeDueList(now);
   if (isRelay_ || mustList || relayedCopy_.mustWatchStore(now)) {
-    list("");
+    list();
   } else if (relayedCopy_.isReadDue(now) && store_.mayCall(now)) {
     relayedCopy_.beginReadIfDue(now);
     catchUp();
@@ -86,7 +90,7 @@
                { "complete", relayedCopy_.completeRevision() },
                { "announced", relayedCopy_.announcedRevision() } });
   if (settings_.catchUp == CatchUp::CurrentState || historyReadFailed_) {
-    list("");
+    list();
   } else {
     readHistory();
   }
@@ -121,7 +125,7 @@
   if (reading == wire::ReadConsistency::StaleAllowed) {
     catchUp();
   } else {
-    list("");
+    list();
   }
 }
 
@@ -159,7 +163,7 @@
   lastChangeRevision_ = std::max(lastChangeRevision_, change.part.revision);
   if (changed) {
     logUpdate("relay", behind);
-    objectsChangedListener_(objects_);
+    notifyObjectsChanged();
   }
 }
 
@@ -204,25 +208,30 @@
   }
 }
 
-void ObjectMirror::list(const std::string& after)
+void ObjectMirror::list()
 {
   activity_ = Activity::Listing;
-  if (after.empty()) {
-    listedObjects_.clear();
-    listRevision_ = 0;
-    listBeganAt_ = clockNow();
-  }
-  store_.list(settings_.kind, after, wire::ReadConsistency::Current, [this](StoreAnswer answer) {
-    onList(answer);
-  });
+  listedObjects_.clear();
+  listRevision_ = 0;
+  listBeganAt_ = clockNow();
+  listPages_.begin(listBeganAt_);
+  readPage();
+}
+
+void ObjectMirror::readPage()
+{
+  store_.list(settings_.kind,
+              listPages_.after(),
+              wire::ReadConsistency::Current,
+              [this](const StoreAnswer& answer) { onPage(answer); });
 }
 
-void ObjectMirror::onList(const StoreAnswer& answer)
+void ObjectMirror::onPage(const StoreAnswer& answer)
 {
   logCatchUp(answer);
   if (answer.outcome != StoreOutcome::Done) {
     logUnanswered("list", answer);
-    onStoreFailure(answer.timedOut);
+    onListFailure("the store didn't return the page", answer.timedOut);
     return;
   }
   try {
@@ -230,26 +239,33 @@
     logUnreadable(page.unreadable);
     listRevision_ = listRevision_ == 0 ? page.revision : listRevision_;
     if (dispatch::eraOf(page.revision) != dispatch::eraOf(listRevision_)) {
-      list("");
+      list();
       return;
     }
-    std::string last;
     for (wire::StoreObject& object : page.items) {
-      last = object.name;
       listedObjects_[object.name] = std::move(object);
     }
-    if (page.hasMore && !last.empty()) {
-      list(last);
-      return;
+    const dispatch::ListStep step = listPages_.onPage(page.hasMore, page.last, clockNow());
+    if (step == dispatch::ListStep::ReadNext) {
+      readPage();
+    } else if (step == dispatch::ListStep::Complete) {
+      onListed();
+    } else {
+      onListFailure(dispatch::toText(step), false);
     }
   } catch (const wire::WireError& error) {
-    onUnreadable(error);
-    return;
+    logUnreadable(error);
+    onListFailure("the page can't be read", false);
   }
+}
+
+void ObjectMirror::onListed()
+{
   onStoreReached();
   const bool wasCatchingUp = std::exchange(catchUpBeganAt_, std::nullopt).has_value();
   historyReadFailed_ = false;
   isOutdated_ = false;
+  listFailingSince_.reset();
   // Messages that arrived during the list may have brought newer objects.
   if (listRevision_ >= lastChangeRevision_) {
     adoptList(wasCatchingUp ? "catch_up" : "list");
@@ -259,6 +275,50 @@
   continueWatching(isRelay_ ? settings_.settleDelay : kFollowerWatchDelay);
 }
 
+void ObjectMirror::onListFailure(const char* reason, bool timedOut)
+{
+  const base::TimePoint now = clockNow();
+  listFailingSince_ = listFailingSince_.value_or(now);
+  if (!listedObjects_.empty()) {
+    log_.write("list_incomplete",
+               { { "kind", static_cast<int>(settings_.kind) },
+                 { "reason", reason },
+                 { "pages", listPages_.pages() },
+                 { "objects", listedObjects_.size() } });
+    if (now >= *listFailingSince_ + kPagesUseDelay) {
+      pagesInUse_ = std::move(listedObjects_);
+      listedObjects_.clear();
+      notifyObjectsChanged();
+    }
+  }
+  onStoreFailure(timedOut);
+}
+
+// Adds what the pages of an incomplete list show. What they lack may exist nevertheless.
+ObjectMirror::Objects ObjectMirror::objectsWithPages() const
+{
+  Objects objects = objects_;
+  for (const auto& [name, object] : pagesInUse_) {
+    const auto known = objects.find(name);
+    const bool isOutdated = known != objects.end()
+                              ? object.revision <= known->second.revision
+                              : deletedObjects_.isOutdated(name, object.revision);
+    if (!isOutdated) {
+      objects[name] = object;
+    }
+  }
+  return objects;
+}
+
+void ObjectMirror::notifyObjectsChanged()
+{
+  if (pagesInUse_.empty()) {
+    objectsChangedListener_(objects_);
+  } else {
+    objectsChangedListener_(objectsWithPages());
+  }
+}
+
 void ObjectMirror::adoptList(const char* path)
 {
   const base::TimePoint now = clockNow();
@@ -285,9 +345,10 @@
     }
   }
   objects_ = std::move(listedObjects_);
+  const bool hadPages = !std::exchange(pagesInUse_, {}).empty();
   relayedCopy_.onRead(listRevision_);
   deletedObjects_.onListed(listRevision_);
-  if (!events.empty() || lastChangeRevision_ == 0) {
+  if (!events.empty() || hadPages || lastChangeRevision_ == 0) {
     logUpdate(path, behind);
     publishChange(std::move(events), listRevision_);
   }
@@ -309,7 +370,7 @@
   const bool wasCatchingUp = std::exchange(catchUpBeganAt_, std::nullopt).has_value();
   if (answer.outcome == StoreOutcome::HistoryGone) {
     log_.write("store_history_gone", { { "kind", static_cast<int>(settings_.kind) } });
-    list("");
+    list();
     return;
   }
   if (answer.outcome != StoreOutcome::Done) {
@@ -339,7 +400,8 @@
     }
     recordFreshness(answer, page);
   } catch (const wire::WireError& error) {
-    onUnreadable(error);
+    logUnreadable(error);
+    onStoreFailure(false);
     return;
   }
   onStoreReached();
@@ -367,7 +429,7 @@
                              {},
                              std::exchange(replaced_, {}) };
   lastChangeRevision_ = std::max(lastChangeRevision_, revision);
-  objectsChangedListener_(objects_);
+  notifyObjectsChanged();
   changeReadListener_(change);
 }
 
@@ -427,7 +489,7 @@
     return;
   }
   if (restorationGrace_.takeDueList(clockNow())) {
-    list("");
+    list();
     return;
   }
   if (delay.count() == 0) {
@@ -454,7 +516,8 @@
     deletedObjects_.onDeleted(
       event.object.name,
       std::max(event.object.revision, known ? found->second.revision : event.object.revision));
-    return objects_.erase(event.object.name) > 0;
+    const bool wasOnPage = pagesInUse_.erase(event.object.name) > 0;
+    return objects_.erase(event.object.name) > 0 || wasOnPage;
   }
   if (!known && deletedObjects_.isOutdated(event.object.name, event.object.revision)) {
     return false;
@@ -474,10 +537,9 @@
   }
 }
 
-void ObjectMirror::onUnreadable(const wire::WireError& error)
+void ObjectMirror::logUnreadable(const wire::WireError& error)
 {
   log_.write("store_answer_unreadable", { { "error", error.what() } });
-  onStoreFailure(false);
 }
 
 // Lists all objects again after a delay: a store that ends watches may have dropped changes without
@@ -507,8 +569,9 @@
     const base::TimePoint now = clockNow();
     if (!isRelay_ && !relayedCopy_.mustWatchStore(now)) {
       activity_ = Activity::Following;
+      listFailingSince_.reset();
     } else if (store_.mayCall(now)) {
-      list("");
+      list();
     } else {
       scheduleList(kProbeInterval);
     }
--- a/libs/entry/tests/PagedListTest.cpp
+++ b/libs/entry/tests/PagedListTest.cpp
@@ -141,3 +141,90 @@
     }
   }
 }
+
+// Guards against entries that are lost because the bytes of a name before them can't be read.
+TEST_CASE("objects behind ones whose names aren't valid UTF-8 are listed")
+{
+  for (const std::size_t pageSize : { 1U, 2U, 3U, 7U }) {
+    CAPTURE(pageSize);
+    PagedStoreClient store(pageSize);
+    const std::vector<std::string> good{ "a", "i-1", "i-2", "z", "\xf0\x9f\x98\x80" };
+    for (const std::string& name : good) {
+      store.store().put(wire::Kind::Servers, name);
+    }
+    for (const char* const bad : { "\x7f", "\x80", "\xc3", "\xff", "\xed\xa0\x80" }) {
+      for (const char* const start : { "", "i-1", "i-2", "y" }) {
+        store.store().put(wire::Kind::Servers, std::string(start) + bad);
+        store.store().put(wire::Kind::Servers, std::string(start) + bad + "x");
+      }
+    }
+    Copy copy(store, wire::Kind::Servers);
+    REQUIRE(copy.awaitObjects());
+    for (const std::string& name : good) {
+      CHECK(copy.contains(name));
+    }
+    CHECK(store.store().refusals() == 0);
+  }
+}
+
+// Guards against a list that is read again and again without a pause.
+TEST_CASE("a store that returns the same page again is asked again after pauses only")
+{
+  PagedStoreClient store(2);
+  for (const char* const name : { "i-1", "i-2", "i-3" }) {
+    store.store().put(wire::Kind::Servers, name);
+  }
+  store.store().ignoreAfter();
+  Copy copy(store, wire::Kind::Servers);
+  store.runUntil([] { return false; }, std::chrono::seconds(2));
+  CHECK(store.store().lists() > 2);
+  CHECK(store.store().lists() < 40);
+  CHECK_FALSE(copy.wasComplete());
+}
+
+// Guards against servers that are taken for gone because the list seemed to end before them.
+TEST_CASE("a page of items without names isn't taken for the end of the list")
+{
+  PagedStoreClient store(2);
+  store.store().put(wire::Kind::Servers, "i-1");
+  store.store().put(wire::Kind::Servers, "i-2");
+  store.store().putNameless(wire::Kind::Servers, "i-3");
+  store.store().putNameless(wire::Kind::Servers, "i-4");
+  store.store().put(wire::Kind::Servers, "i-5");
+  Copy copy(store, wire::Kind::Servers);
+  store.runUntil([] { return false; }, std::chrono::seconds(1));
+  CHECK_FALSE(copy.wasComplete());
+  CHECK(store.store().lists() < 40);
+}
+
+// Guards against an item without a name that stops the list where others of its page have names.
+TEST_CASE("an item without a name at the end of a page doesn't end the list")
+{
+  PagedStoreClient store(2);
+  store.store().put(wire::Kind::Servers, "i-1");
+  store.store().putNameless(wire::Kind::Servers, "i-2");
+  store.store().put(wire::Kind::Servers, "i-3");
+  Copy copy(store, wire::Kind::Servers);
+  REQUIRE(copy.awaitObjects());
+  CHECK(copy.names() == std::set<std::string>{ "i-1", "i-3" });
+}
+
+// Guards against a VM that has started and knows no server because one page can't be read.
+TEST_CASE("a VM that can't list all objects uses those of the pages that it has read")
+{
+  PagedStoreClient store(2);
+  for (const char* const name : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
+    store.store().put(wire::Kind::Servers, name);
+  }
+  bool isRefused = true;
+  store.store().refuseAfter([&](const std::string& after) { return isRefused && after == "i-4"; });
+  Copy copy(store, wire::Kind::Servers);
+  REQUIRE(copy.awaitObjects());
+  CHECK(copy.names() == std::set<std::string>{ "i-1", "i-2", "i-3", "i-4" });
+  CHECK_FALSE(copy.wasComplete());
+  // Once all pages can be read, objects that have been deleted meanwhile are dropped.
+  store.store().remove(wire::Kind::Servers, "i-1");
+  isRefused = false;
+  REQUIRE(store.runUntil([&] { return copy.wasComplete(); }));
+  CHECK(copy.names() == std::set<std::string>{ "i-2", "i-3", "i-4", "i-5" });
+}
