Read each record of an entry VM by itself, and let their list make progress

The whole page was read in one try block, and the next page was asked for after whatever name came last. An answer to an earlier list no longer continues a later one.

--- a/libs/entry/include/entry/VmRegistry.h
+++ b/libs/entry/include/entry/VmRegistry.h
@@ -5,7 +5,9 @@
 
 #include <base/Ids.h>
 #include <dispatch/EntryVmRecord.h>
+#include <dispatch/ListPages.h>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -38,14 +40,15 @@
   void start() { registerSelf(0); }
 
   // Lists the registered VMs.
-  void list() { listFrom(""); }
+  void list();
 
 private:
   void registerSelf(std::uint64_t revision);
   void onRegistered(const StoreAnswer& answer);
-  // Reads the page of registered VMs that starts after this name, and the pages that follow.
-  void listFrom(const std::string& after);
+  // Reads the next page of registered VMs, and the pages that follow.
+  void readPage();
   void onPage(const StoreAnswer& answer);
+  void readRecord(const wire::StoreObject& object);
   void retryList();
 
   StoreClient& store_;
@@ -55,6 +58,9 @@
   MustBeCurrent mustBeCurrent_;
   VmListener vmListener_;
   PageListener pageListener_;
+  dispatch::ListPages listPages_;
+  // Number of lists begun so far.
+  std::uint64_t listNumber_ = 0;
   asio::steady_timer registerTimer_;
   asio::steady_timer listTimer_;
 };
--- a/libs/entry/src/VmRegistry.cpp
+++ b/libs/entry/src/VmRegistry.cpp
@@ -1,7 +1,10 @@
 #include <entry/VmRegistry.h>
 
+#include <entry/SteadyTime.h>
+
 #include <wire/WireError.h>
 
+#include <optional>
 #include <utility>
 
 namespace sycamore::entry {
@@ -28,6 +31,7 @@
   , mustBeCurrent_(std::move(mustBeCurrent))
   , vmListener_(std::move(vmListener))
   , pageListener_(std::move(pageListener))
+  , listPages_({})
   , registerTimer_(context)
   , listTimer_(context)
 {
@@ -69,12 +73,26 @@
   });
 }
 
-void VmRegistry::listFrom(const std::string& after)
+void VmRegistry::list()
+{
+  ++listNumber_;
+  listPages_.begin(clockNow());
+  readPage();
+}
+
+void VmRegistry::readPage()
 {
   const auto reading =
     mustBeCurrent_() ? wire::ReadConsistency::Current : wire::ReadConsistency::StaleAllowed;
-  store_.list(
-    wire::Kind::EntryVms, after, reading, [this](const StoreAnswer& answer) { onPage(answer); });
+  store_.list(wire::Kind::EntryVms,
+              listPages_.after(),
+              reading,
+              [this, number = listNumber_](const StoreAnswer& answer) {
+                // A later list has begun meanwhile.
+                if (number == listNumber_) {
+                  onPage(answer);
+                }
+              });
 }
 
 void VmRegistry::onPage(const StoreAnswer& answer)
@@ -86,15 +104,36 @@
   try {
     const wire::ListPage page = wire::readList(answer.body, answer.era);
     for (const wire::StoreObject& object : page.items) {
-      vmListener_(base::VmId(object.name), dispatch::readEntryVmRecord(wire::ownContent(object)));
+      readRecord(object);
     }
     pageListener_();
-    if (page.hasMore && !page.items.empty()) {
-      listFrom(page.items.back().name);
+    const dispatch::ListStep step = listPages_.onPage(page.hasMore, page.last, clockNow());
+    if (step == dispatch::ListStep::ReadNext) {
+      readPage();
+    } else if (step != dispatch::ListStep::Complete) {
+      log_.write("list_incomplete",
+                 { { "kind", static_cast<int>(wire::Kind::EntryVms) },
+                   { "reason", dispatch::toText(step) },
+                   { "pages", listPages_.pages() } });
+      retryList();
     }
-  } catch (const std::exception& error) {
+  } catch (const wire::WireError& error) {
     log_.write("store_answer_unreadable", { { "error", error.what() } });
+    retryList();
+  }
+}
+
+// A record of another writer that can't be read names no VM.
+void VmRegistry::readRecord(const wire::StoreObject& object)
+{
+  std::optional<dispatch::EntryVmRecord> record;
+  try {
+    record = dispatch::readEntryVmRecord(wire::ownContent(object));
+  } catch (const std::exception& error) {
+    log_.write("vm_record_unreadable", { { "name", object.name }, { "error", error.what() } });
+    return;
   }
+  vmListener_(base::VmId(object.name), *record);
 }
 
 void VmRegistry::retryList()
--- a/libs/entry/tests/PagedListTest.cpp
+++ b/libs/entry/tests/PagedListTest.cpp
@@ -2,6 +2,7 @@
 
 #include <entry/ObjectMirror.h>
 #include <entry/SteadyTime.h>
+#include <entry/VmRegistry.h>
 
 #include <PagedStore.h>
 #include <StoreTexts.h>
@@ -228,3 +229,68 @@
   REQUIRE(store.runUntil([&] { return copy.wasComplete(); }));
   CHECK(copy.names() == std::set<std::string>{ "i-2", "i-3", "i-4", "i-5" });
 }
+
+namespace {
+
+// Registers a VM as the coordinator and collects the VMs that it lists.
+class Registration
+{
+public:
+  explicit Registration(PagedStoreClient& store)
+    : registry_(
+        store.context(),
+        store.client(),
+        store.log(),
+        base::VmId("front-1"),
+        { "10.0.0.1", base::DomainId("a"), 1 },
+        [] { return true; },
+        [this](const base::VmId& vm, const dispatch::EntryVmRecord&) { vms_.insert(vm); },
+        [] {})
+  {
+    registry_.start();
+  }
+
+  bool contains(const char* vm) const { return vms_.contains(base::VmId(vm)); }
+
+private:
+  std::set<base::VmId> vms_;
+  VmRegistry registry_;
+};
+
+std::string vmRecord()
+{
+  return ownMembers(dispatch::writeEntryVmRecord({ "10.0.0.2", base::DomainId("b"), 1 }));
+}
+
+} // namespace
+
+// Guards against a coordinator that knows only the VMs in front of a record that it can't read.
+TEST_CASE("VMs behind a record that can't be read are listed")
+{
+  for (const std::size_t pageSize : { 1U, 2U, 10U }) {
+    for (const std::string& faulty : { std::string(), ownMembers("5"), ownMembers("{}") }) {
+      CAPTURE(pageSize);
+      CAPTURE(faulty);
+      PagedStoreClient store(pageSize);
+      store.store().put(wire::Kind::EntryVms, "front-1", vmRecord());
+      store.store().put(wire::Kind::EntryVms, "front-1 & #%41+", faulty);
+      store.store().put(wire::Kind::EntryVms, "front-2", vmRecord());
+      Registration registration(store);
+      CHECK(
+        store.runUntil([&] { return registration.contains("front-2"); }, std::chrono::seconds(1)));
+    }
+  }
+}
+
+// Guards against a list of VMs that is read again and again without a pause.
+TEST_CASE("a store that returns the same page of VMs again is asked again after pauses only")
+{
+  PagedStoreClient store(1);
+  store.store().put(wire::Kind::EntryVms, "front-1", vmRecord());
+  store.store().put(wire::Kind::EntryVms, "front-2", vmRecord());
+  store.store().ignoreAfter();
+  const Registration registration(store);
+  store.runUntil([] { return false; }, std::chrono::seconds(1));
+  CHECK(store.store().lists() > 2);
+  CHECK(store.store().lists() < 30);
+}
