Take the end of a connection for that of an answer only once the request is written

A client got a part of a body as the whole of a 200: a server had answered a long upload at once, without a length, had sent a part and reset the connection. Cause, by a trace of the calls: the write of the upload gets ECONNRESET and clears it from the socket, the next read returns the part, and the one after it 0, which is an orderly end. The comment that a failed write is followed by a failed read was wrong.

An answer without a length counts as whole only if its connection ends in order after all of the request was written. A server that ends its side before that has hardly sent all of a 2xx. A refusal that says "not run" is still taken, since its body isn't passed on; answers with a length or without a body are whole by themselves. The same holds for grants, releases and calls to the store, which share the class. The request counts as one that may have run: it is repeated if it is idempotent.

--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -143,6 +143,12 @@
   void send();
   void read();
   void onBytes(const error_code& error, std::size_t count);
+  // Nothing more can be read.
+  void onEnd(const error_code& error);
+  // Returns whether the end of the connection is that of an answer without a length. If the request
+  // isn't written yet, the server has hardly sent all of its answer, and the connection may have
+  // been reset. A statement that the request hasn't run needs no body.
+  bool isEndOfAnswer() const;
   void onAnswer();
   void finish(ExchangeEnd end);
   void close();
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -154,8 +154,9 @@
       if (error && count == 0) {
         self->endOnFailure([&] { self->finish(ExchangeEnd::NotSent); });
       }
-      // Otherwise, a failed write is followed by a failed read, after any bytes that can still be
-      // read.
+      // Otherwise, the next read ends, after any bytes that can still be read. It may show an
+      // orderly end though the connection was reset: the failed write has taken the error of the
+      // socket.
     });
   if (!readPending_) {
     read();
@@ -200,15 +201,7 @@
   exchangedBytes_ += count;
   receivedBytes_ += count;
   if (error) {
-    const bool isComplete = error == asio::error::eof && reader_.headerDone() &&
-                            reader_.feed(in_) != ReadState::Failed &&
-                            reader_.finish() == ReadState::Done;
-    if (isComplete) {
-      isOpen_ = false;
-      onAnswer();
-    } else {
-      finish(ExchangeEnd::Broken);
-    }
+    onEnd(error);
     return;
   }
   const ReadState state = reader_.feed(in_);
@@ -230,6 +223,25 @@
   }
 }
 
+void ServerConnection::onEnd(const error_code& error)
+{
+  const bool isWhole = error == asio::error::eof && reader_.headerDone() &&
+                       reader_.feed(in_) != ReadState::Failed &&
+                       reader_.finish() == ReadState::Done && isEndOfAnswer();
+  if (!isWhole) {
+    finish(ExchangeEnd::Broken);
+    return;
+  }
+  isOpen_ = false;
+  onAnswer();
+}
+
+bool ServerConnection::isEndOfAnswer() const
+{
+  const ServerAnswer& answer = reader_.message();
+  return requestWritten_ || wire::readAnswerMetadata(answer.status, answer.fields).notRun;
+}
+
 void ServerConnection::onAnswer()
 {
   const ServerAnswer& answer = reader_.message();
--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -52,7 +52,7 @@
           self->in.clear();
           self->perform(react(request));
         }
-        if (self->socket.is_open()) {
+        if (self->socket.is_open() && !self->isEnding) {
           self->read(react, onEnd);
         }
       });
@@ -71,6 +71,21 @@
     }
     error_code ignored;
     asio::write(socket, asio::buffer(reaction.bytes), ignored);
+    isEnding = reaction.end != FakeServer::Reaction::End::KeepOpen;
+    if (isEnding && reaction.endDelay > std::chrono::milliseconds::zero()) {
+      timer.expires_after(reaction.endDelay);
+      timer.async_wait([self = shared_from_this(), end = reaction.end](const error_code& error) {
+        if (!error) {
+          self->perform({ "", end });
+        }
+      });
+      return;
+    }
+    if (reaction.end == FakeServer::Reaction::End::ShutdownSend) {
+      socket.shutdown(tcp::socket::shutdown_send, ignored);
+      awaitPeer();
+      return;
+    }
     if (reaction.end == FakeServer::Reaction::End::Reset) {
       socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
@@ -81,6 +96,12 @@
     }
   }
 
+  // Keeps the connection until the other side resets it.
+  void awaitPeer()
+  {
+    socket.async_wait(tcp::socket::wait_error, [self = shared_from_this()](const error_code&) {});
+  }
+
   void writeEndlessly(const std::shared_ptr<FakeServer::Reaction>& reaction)
   {
     asio::async_write(socket,
@@ -103,6 +124,8 @@
   std::array<char, 65536> chunk{};
   std::string in;
   bool isSilent = false;
+  // Whether the connection is about to end, so that nothing more is read.
+  bool isEnding = false;
 };
 
 } // namespace
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -14,13 +14,14 @@
 {
 public:
   // Reaction to a request: the bytes to write, and whether to keep the connection open, close it in
-  // order or reset it.
+  // order, end only the server's side of it without reading on, or reset it.
   struct Reaction
   {
     enum class End
     {
       KeepOpen,
       Close,
+      ShutdownSend,
       Reset
     };
 
@@ -31,6 +32,8 @@
     std::chrono::milliseconds endlessInterval{ 0 };
     // Time that passes before the bytes are written.
     std::chrono::milliseconds delay{ 0 };
+    // Time that passes between the bytes and the end of the connection, in which nothing is read.
+    std::chrono::milliseconds endDelay{ 0 };
   };
   using React = std::function<Reaction(const std::string& request)>;
 
