Refuse an answer whose head recipients read in different ways

Clients got bodies that weren't the server's, as a 200: a line that begins with a blank (a length ignored, and bytes behind the body passed on), codings other than chunked alone (the coded bytes, the header dropped). Cause: Beast joins continued lines and passes over codings that it doesn't know. Faulty names, control bytes and lengths were refused already, and 000 to 099 and 600 on by the connection.

One place decides now, in whatever pieces the bytes arrive: the reader refuses a status that no answer has, continued lines in header and trailer (RFC 9112, 5.2), codings other than chunked alone (6.1) and a length beside a coding (6.3). Callers get 502, or the request is repeated if it may run again; the connection is closed. The line answer_unreadable names the request, the server and the reason; sycamore_entry_unreadable_answers_total counts. The same reader refuses such requests, with 400: a continued line was taken or refused depending on its size, and the body of a request with another coding would have been read as the next request.

--- a/libs/entry/include/entry/DispatchCounts.h
+++ b/libs/entry/include/entry/DispatchCounts.h
@@ -18,6 +18,8 @@
   std::uint64_t refusedStopping = 0;
   std::uint64_t failedUnknown = 0;
   std::uint64_t failedTimeout = 0;
+  // Answers of servers that could not be taken for answers.
+  std::uint64_t unreadableAnswers = 0;
   std::uint64_t callerLeft = 0;
   std::uint64_t retries = 0;
   // Requests that were begun before those in front of them on their connection were answered, and
--- a/libs/entry/include/entry/Dispatcher.h
+++ b/libs/entry/include/entry/Dispatcher.h
@@ -175,8 +175,12 @@
                  base::Duration excess,
                  std::uint64_t& counter,
                  std::shared_ptr<ServerPool> decidingServer = nullptr);
-  // Counts the bytes and the connection of an exchange that has ended.
-  void recordExchange(ServerPool& pool, const ExchangeResult& result, base::TimePoint now);
+  // Counts the bytes and the connection of a request's exchange that has ended, and logs an answer
+  // that can't be read.
+  void recordExchange(ServerPool& pool,
+                      const std::string& requestId,
+                      const ExchangeResult& result,
+                      base::TimePoint now);
   // Records the processing time of a request at one of the service's servers.
   void recordServiceWork(const base::ServiceId& service, base::Duration work, base::TimePoint now);
   // Lets servers that haven't been measured count as average ones of their service.
--- a/libs/entry/include/entry/MessageParser.h
+++ b/libs/entry/include/entry/MessageParser.h
@@ -4,6 +4,9 @@
 #include <entry/Request.h>
 #include <entry/ServerAnswer.h>
 
+#include <base/HeadCheck.h>
+#include <base/HttpStatus.h>
+
 #include <boost/optional.hpp>
 
 #include <cstdint>
@@ -47,6 +50,10 @@
   {
     error = {};
     if constexpr (std::is_same_v<Message, ServerAnswer>) {
+      if (!base::isAnswerStatus(status)) {
+        error = http::error::bad_status;
+        return;
+      }
       message_.status = static_cast<unsigned>(status);
       message_.reason = toStringView(reason);
     }
@@ -62,12 +69,20 @@
       error = http::error::header_limit;
       return;
     }
+    if (!this->is_header_done()) {
+      coding_.onField(toStringView(name), toStringView(value));
+    }
     message_.fields.append(toStringView(name), toStringView(value));
   }
 
+  // Beast accepts codings that it doesn't decode.
   void on_header_impl(error_code& error) override
   {
     error = {};
+    if (coding_.fault() != base::HeadFault::None) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
     if constexpr (std::is_same_v<Message, Request>) {
       message_.hasBody = this->chunked() || this->content_length().has_value();
     }
@@ -117,6 +132,7 @@
   }
 
   Message message_;
+  base::CodingCheck coding_;
   std::size_t trailerBytesLeft_ = std::numeric_limits<std::size_t>::max();
 };
 
--- a/libs/entry/include/entry/MessageReader.h
+++ b/libs/entry/include/entry/MessageReader.h
@@ -79,7 +79,7 @@
     while (!parser_->is_done() && parsed < bytes.size()) {
       const bool isHeader = !parser_->is_header_done();
       const std::string_view rest = bytes.substr(parsed);
-      parsed += isHeader ? putHeader(rest) : put(rest);
+      parsed += isHeader ? putHeader(rest) : putBody(rest);
       const std::size_t unparsed = bytes.size() - parsed;
       const std::size_t counted = isHeader ? headerBytes_ + unparsed : unparsed;
       const bool isIncomplete = error_ == http::error::need_more;
@@ -111,11 +111,35 @@
     if (!error_ && headerBytes_ > headerLimit_) {
       error_ = http::error::header_limit;
     }
-    parser_->eager(true);
+    refuseContinuedLines(bytes.substr(0, taken));
+    // The last chunk is parsed by itself, so that the lines of its trailer can be checked.
+    parser_->eager(!parser_->chunked());
     parser_->setTrailerLimit(headerLimit_ - std::min(headerBytes_, headerLimit_));
     return taken;
   }
 
+  // Parses bytes of the body and the trailer.
+  std::size_t putBody(std::string_view bytes)
+  {
+    const std::size_t taken = put(bytes);
+    if (parser_->is_done() && parser_->chunked()) {
+      refuseContinuedLines(bytes.substr(0, taken));
+    }
+    return taken;
+  }
+
+  // Beast joins a line that begins with a blank or a tab to the one before. Recipients may refuse
+  // it (RFC 9112, 5.2), and others take it for a field of its own or leave it out.
+  void refuseContinuedLines(std::string_view lines)
+  {
+    const bool isContinued =
+      lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+    const bool isRefused = error_ && error_ != http::error::need_more;
+    if (isContinued && !isRefused) {
+      error_ = http::error::bad_obs_fold;
+    }
+  }
+
   std::size_t put(std::string_view bytes)
   {
     return parser_->put(asio::buffer(bytes.data(), bytes.size()), error_);
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -46,6 +46,8 @@
   std::size_t bytes = 0;
   // Whether a byte was received after the request.
   bool answerBegan = false;
+  // Why a malformed answer can't be used.
+  std::string fault;
   // Memory that the answer takes.
   BufferReservation memory;
   // Whether the call was given up because nothing more arrived in time.
--- a/libs/entry/src/Dispatcher.cpp
+++ b/libs/entry/src/Dispatcher.cpp
@@ -282,7 +282,10 @@
   };
 }
 
-void Dispatcher::recordExchange(ServerPool& pool, const ExchangeResult& result, base::TimePoint now)
+void Dispatcher::recordExchange(ServerPool& pool,
+                                const std::string& requestId,
+                                const ExchangeResult& result,
+                                base::TimePoint now)
 {
   const dispatch::BackendServer& server = pool.server();
   const char* const kind = isKeyed(server.service) ? "keyed_request" : "request";
@@ -297,6 +300,11 @@
         { "occupancy", pool.load().occupancy(now) },
         { "in_use", pool.connectionsInUse() } });
   }
+  if (result.end == ExchangeEnd::Malformed) {
+    ++counts_.unreadableAnswers;
+    log_.write("answer_unreadable",
+               { { "id", requestId }, { "server", server.id.value() }, { "error", result.fault } });
+  }
 }
 
 void Dispatcher::recordServiceWork(const base::ServiceId& service,
--- a/libs/entry/src/RequestHandler.cpp
+++ b/libs/entry/src/RequestHandler.cpp
@@ -230,7 +230,7 @@
 {
   const base::TimePoint now = clockNow();
   const bool isKeyed = dispatcher_.isKeyed(service_);
-  dispatcher_.recordExchange(*pool_, result, now);
+  dispatcher_.recordExchange(*pool_, metadata_.requestId, result, now);
   const auto answerMetadata = wire::readAnswerMetadata(result.answer.status, result.answer.fields);
   dispatch::ServerLoad& load = pool_->load();
   const bool answered = result.end == ExchangeEnd::Answered;
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -3,7 +3,6 @@
 #include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
-#include <base/HttpStatus.h>
 #include <wire/ServerProtocol.h>
 
 #include <boost/asio/write.hpp>
@@ -43,6 +42,12 @@
                                   std::chrono::seconds(seconds) - kIdleMargin);
 }
 
+// Returns why an answer that arrived can't be used.
+std::string faultOf(const AnswerReader& reader)
+{
+  return reader.error() ? reader.error().message() : "it can't be told which request it answers";
+}
+
 bool isLimitError(const error_code& error)
 {
   return error == http::error::header_limit || error == http::error::body_limit;
@@ -204,13 +209,7 @@
     onEnd(error);
     return;
   }
-  const ReadState state = reader_.feed(in_);
-  // Checked before the body, which may have no end where the status isn't known.
-  if (reader_.headerDone() && !base::isAnswerStatus(reader_.message().status)) {
-    finish(ExchangeEnd::Malformed);
-    return;
-  }
-  switch (state) {
+  switch (reader_.feed(in_)) {
     case ReadState::NeedMore:
       read();
       return;
@@ -286,6 +285,7 @@
   result.reused = exchanges_ > 1;
   result.isIdentified = isIdentified_;
   result.connectionAge = age(clockNow());
+  result.fault = end == ExchangeEnd::Malformed ? faultOf(reader_) : "";
   if (end == ExchangeEnd::Answered) {
     result.answer = reader_.take();
     result.memory = std::move(memory_);
--- a/programs/sycamore-entry/src/EntryProcess.cpp
+++ b/programs/sycamore-entry/src/EntryProcess.cpp
@@ -344,6 +344,7 @@
   appendMetric("refused_stopping_total", counts.refusedStopping);
   appendMetric("failed_unknown_total", counts.failedUnknown);
   appendMetric("failed_timeout_total", counts.failedTimeout);
+  appendMetric("unreadable_answers_total", counts.unreadableAnswers);
   appendMetric("caller_left_total", counts.callerLeft);
   appendMetric("retries_total", counts.retries);
   appendMetric("pipelined_total", counts.pipelined);
