Let sycamored refuse an answer whose head recipients read in different ways

Callers of sycamored got an answer in whose head a field's name held a blank, a tab, a control byte or a byte beyond ASCII, or a value a control byte, with that line passed on; a line that began with a blank or ended in LF alone was passed on, taken for a field of its own or dropped; a length of "2x" counted as 2, the first of two lengths counted. Cause: cpp-httplib splits a line at its first colon and checks nothing else.

--- a/libs/transport/include/transport/BoundedHttpClient.h
+++ b/libs/transport/include/transport/BoundedHttpClient.h
@@ -13,7 +13,8 @@
 // A cpp-httplib client that bounds what cpp-httplib keeps of an answer before it is passed on. The
 // head of an answer must be complete by a deadline and within a maximum length, and so must each
 // line between the chunks of a body; otherwise the call fails and the connection is closed, as it
-// does with a status that no answer has. Bytes after an answer close the connection too.
+// does with a status that no answer has and with a head that recipients read in different ways.
+// Bytes after an answer close the connection too.
 class BoundedHttpClient : public httplib::ClientImpl
 {
 public:
--- a/libs/transport/src/BoundedHttpClient.cpp
+++ b/libs/transport/src/BoundedHttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "SocketStream.h"
 
+#include <base/HeadCheck.h>
 #include <base/HttpStatus.h>
 
 namespace sycamore::transport {
@@ -24,7 +25,9 @@
   request.response_handler =
     [this, handler = std::move(request.response_handler)](const httplib::Response& head) {
       stream_->clearHeadDeadline();
-      return base::isAnswerStatus(head.status) && (!handler || handler(head));
+      return base::isAnswerStatus(head.status) &&
+             base::findHeadFault(stream_->rawHead()) == base::HeadFault::None &&
+             (!handler || handler(head));
     };
   return send(request, response, error);
 }
