Let sycamored refuse a request whose header lines recipients read in different ways

A request with a continued line, a malformed name or value, or a header line that ends in LF alone was taken, with lines dropped or passed on; where such a line held the length, its body was read as the beginning of the next request (two answers for one request in the test). Cause: the check of a request's framing looks at the fields that cpp-httplib has made of the lines.

Test: "requests with ambiguous framing are refused ...", which the faulty heads have been added to; it failed before.

--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "SocketStream.h"
 #include "WorkerPool.h"
 
+#include <base/HeadCheck.h>
 #include <transport/TransportError.h>
 
 #include <array>
@@ -630,7 +631,10 @@
 
   HandlerResponse refuseInvalidFraming(const httplib::Request& request, httplib::Response& response)
   {
-    const auto fault = findFramingFault(request);
+    auto fault = findFramingFault(request);
+    if (base::findHeadFault(currentConnection->stream->rawHead()) != base::HeadFault::None) {
+      fault = "a header line is malformed, continued or contradicts another one";
+    }
     if (!fault) {
       return HandlerResponse::Unhandled;
     }
--- a/libs/transport/tests/HttpServerTest.cpp
+++ b/libs/transport/tests/HttpServerTest.cpp
@@ -1,4 +1,5 @@
 #include <base/Time.h>
+#include <base_testing/FaultyHeads.h>
 #include <doctest/doctest.h>
 #include <transport/HttpClientPool.h>
 #include <transport/HttpServer.h>
@@ -176,7 +177,7 @@
     echo(request, response);
   });
   const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
-  const std::vector<std::string> heads = {
+  std::vector<std::string> heads = {
     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\n",
@@ -184,6 +185,9 @@
     "GET /a HTTP/1.1\r\nHost: a\r\nContent-Length: 38\r\n\r\n",
     "nonsense\r\n\r\n",
   };
+  for (const std::string& rest : base::testing::faultyHeads()) {
+    heads.push_back("POST /a HTTP/1.1\r\nHost: a\r\n" + rest);
+  }
   for (const auto& head : heads) {
     RawConnection connection(fixture.bound.port);
     connection.send(head + smuggled);
