Read each item of the platform's lists by itself in sycamored

One item of another writer, such as a VM without a role or an object whose version is a text, made the whole list unreadable for sycamored: the VM list, the configuration and the shard maps stayed as they were, and a VM that started knew none. Items are read one by one now, what can't be read is left out and logged. Without the new try block the test fails at its first case, as the parser before did; bytes that aren't UTF-8 still make an answer unreadable as a whole (only read, not shown with processes).

--- a/libs/control/include/control/PlatformReader.h
+++ b/libs/control/include/control/PlatformReader.h
@@ -2,6 +2,7 @@
 
 #include <configuration/ConfigObject.h>
 #include <control/ControlContext.h>
+#include <control/PlatformAnswers.h>
 
 #include <functional>
 #include <string>
@@ -9,15 +10,6 @@
 
 namespace sycamore::control {
 
-// An object of the platform, as returned by a list or a watch call.
-struct PlatformObject
-{
-  std::string name;
-  base::Version version;
-  // JSON text.
-  std::string value;
-};
-
 // Receives what was read from the platform. Called on the control thread.
 class PlatformListener
 {
@@ -58,6 +50,8 @@
   void list(ObjectKind& kind);
   void watch(ObjectKind& kind);
   void onObjects(ObjectKind& kind, bool isComplete, const transport::BufferedResponse& response);
+  // Logs that this number of items in an answer were left out.
+  void logUnreadable(const std::string& kind, std::size_t items);
   void recordAnswer(bool answered);
   base::Duration listInterval() const;
 
--- a/libs/control/src/PlatformReader.cpp
+++ b/libs/control/src/PlatformReader.cpp
@@ -27,35 +27,6 @@
   return request;
 }
 
-std::vector<membership::ListedVm> parseVmList(const json& body)
-{
-  std::vector<membership::ListedVm> list;
-  for (const json& item : body.at("vms")) {
-    membership::ListedVm vm;
-    vm.id = item.at("id").get<std::string>();
-    vm.role = item.at("role") == "backend" ? membership::Role::Backend : membership::Role::Entry;
-    vm.address = item.value("address", "");
-    vm.peerAddress = item.value("peer_address", "");
-    vm.domain = base::DomainId(item.value("domain", ""));
-    vm.service = base::ServiceId(item.value("service", ""));
-    vm.state = item.value("state", "live") == "leaving" ? membership::ListedState::Leaving
-                                                        : membership::ListedState::Live;
-    list.push_back(vm);
-  }
-  return list;
-}
-
-std::vector<PlatformObject> parseObjects(const json& body)
-{
-  std::vector<PlatformObject> objects;
-  for (const json& item : body.at("objects")) {
-    objects.push_back({ item.at("name").get<std::string>(),
-                        base::Version(item.at("version").get<std::uint64_t>()),
-                        item.at("value").dump() });
-  }
-  return objects;
-}
-
 } // namespace
 
 PlatformReader::PlatformReader(ControlContext& context, PlatformListener& listener)
@@ -106,7 +77,9 @@
                        return;
                      }
                      try {
-                       listener_.onVmList(parseVmList(json::parse(response.body)));
+                       const PlatformVms list = parseVmList(response.body);
+                       logUnreadable("VMs", list.unreadable);
+                       listener_.onVmList(list.vms);
                      } catch (const json::exception& error) {
                        context_.log(std::string("malformed VM list from the platform: ") +
                                     error.what());
@@ -150,14 +123,14 @@
     return;
   }
   try {
-    const json body = json::parse(response.body);
-    const auto objects = parseObjects(body);
-    kind.revision = body.at("revision").get<std::uint64_t>();
+    const PlatformObjects list = parseObjects(response.body);
+    logUnreadable(kind.name, list.unreadable);
+    kind.revision = list.revision;
     kind.listed = true;
     if (&kind == &config_) {
-      listener_.onConfig(objects);
+      listener_.onConfig(list.objects);
     } else {
-      listener_.onMaps(objects, isComplete);
+      listener_.onMaps(list.objects, isComplete);
     }
   } catch (const json::exception& error) {
     context_.log("malformed list of " + kind.name + ": " + error.what());
@@ -165,6 +138,14 @@
   }
 }
 
+void PlatformReader::logUnreadable(const std::string& kind, std::size_t items)
+{
+  if (items > 0) {
+    context_.log("left out " + std::to_string(items) + " items of the platform's list of " + kind +
+                 " that can't be read");
+  }
+}
+
 void PlatformReader::recordAnswer(bool answered)
 {
   if (!answered) {
