--- a/libs/entry/tests/EarlyAnswerTest.cpp
+++ b/libs/entry/tests/EarlyAnswerTest.cpp
@@ -196,7 +196,9 @@
     const bool endShowsWhole = drawn.hasLength || drawn.isChunked || drawn.isWhole;
     // What a server ends in order after it may have read all can't be told from a whole answer.
     if (isSuccess && (endShowsWhole || isLong || drawn.reaction.end == End::Reset)) {
-      CHECK(answer->body == drawn.body);
+      CAPTURE(answer->body.size());
+      const bool isWhole = answer->body == drawn.body;
+      CHECK(isWhole);
     }
   }
 }
