--- a/libs/entry/src/ObjectMirror.cpp
+++ b/libs/entry/src/ObjectMirror.cpp
@@ -234,28 +234,30 @@
     onListFailure("the store didn't return the page", answer.timedOut);
     return;
   }
+  wire::ListPage page;
   try {
-    wire::ListPage page = wire::readList(answer.body, answer.era);
-    logUnreadable(page.unreadable);
-    listRevision_ = listRevision_ == 0 ? page.revision : listRevision_;
-    if (dispatch::eraOf(page.revision) != dispatch::eraOf(listRevision_)) {
-      list();
-      return;
-    }
-    for (wire::StoreObject& object : page.items) {
-      listedObjects_[object.name] = std::move(object);
-    }
-    const dispatch::ListStep step = listPages_.onPage(page.hasMore, page.last, clockNow());
-    if (step == dispatch::ListStep::ReadNext) {
-      readPage();
-    } else if (step == dispatch::ListStep::Complete) {
-      onListed();
-    } else {
-      onListFailure(dispatch::toText(step), false);
-    }
+    page = wire::readList(answer.body, answer.era);
   } catch (const wire::WireError& error) {
     logUnreadable(error);
     onListFailure("the page can't be read", false);
+    return;
+  }
+  logUnreadable(page.unreadable);
+  listRevision_ = listRevision_ == 0 ? page.revision : listRevision_;
+  if (dispatch::eraOf(page.revision) != dispatch::eraOf(listRevision_)) {
+    list();
+    return;
+  }
+  for (wire::StoreObject& object : page.items) {
+    listedObjects_[object.name] = std::move(object);
+  }
+  const dispatch::ListStep step = listPages_.onPage(page.hasMore, page.last, clockNow());
+  if (step == dispatch::ListStep::ReadNext) {
+    readPage();
+  } else if (step == dispatch::ListStep::Complete) {
+    onListed();
+  } else {
+    onListFailure(dispatch::toText(step), false);
   }
 }
 
--- a/tests/entry/PagingStore.cpp
+++ b/tests/entry/PagingStore.cpp
@@ -62,25 +62,6 @@
   if (!store.write(textOf(forwarded)) || !store.read(answer)) {
     return "";
   }
-  return answerText(std::stoi(answer.word(1)), isPaged ? pageOf(answer, *after) : answer.body);
-}
-
-std::string PagingStore::pageOf(const Message& whole, const std::string& after) const
-{
-  Json list = Json::parse(whole.body);
-  Json page = Json::array();
-  bool hasMore = false;
-  for (const Json& item : list["items"]) {
-    if (item["metadata"]["name"].get<std::string>() <= after) {
-      continue;
-    }
-    hasMore = page.size() == pageSize_;
-    if (hasMore) {
-      break;
-    }
-    page.push_back(item);
-  }
-  list["items"] = page;
-  list["has_more"] = hasMore;
-  return list.dump();
+  return answerText(std::stoi(answer.word(1)),
+                    isPaged ? wire_testing::pageOf(answer.body, *after, pageSize_) : answer.body);
 }
--- a/tests/entry/PagingStore.h
+++ b/tests/entry/PagingStore.h
@@ -21,7 +21,6 @@
 private:
   void serve(review::Channel& channel);
   std::string answer(const review::Message& request, review::Channel& store);
-  std::string pageOf(const review::Message& whole, const std::string& after) const;
 
   int storePort_;
   std::size_t pageSize_;
