--- a/libs/base/tests/HeadCheckTest.cpp
+++ b/libs/base/tests/HeadCheckTest.cpp
@@ -3,6 +3,8 @@
 #include <base_testing/FaultyHeads.h>
 #include <doctest/doctest.h>
 
+#include <cctype>
+
 using namespace sycamore;
 using namespace sycamore::base;
 
