Tell in logs and metrics how grants ended and whose answers were taken

A grant that timed out was always logged as one on a new connection; owner_changed didn't say whether the last grant was answered; nothing counted answers by their id. Change: grant_failed has open_ms, the true connection_reused and connection_ms; owner_changed has last_grant; order_answers in status and metrics. No decision changes.

--- a/libs/dispatch/include/dispatch/CoordinatorActions.h
+++ b/libs/dispatch/include/dispatch/CoordinatorActions.h
@@ -50,6 +50,15 @@
   ProcessEnd
 };
 
+// How the grant to the previous owner ended that expired last, whatever its keys.
+enum class LastGrant
+{
+  // This VM sent none.
+  OfPredecessor,
+  Answered,
+  Unanswered
+};
+
 // A range that gets another owner, for the log.
 struct OwnerChange
 {
@@ -62,6 +71,7 @@
   KeysFreedBy freedBy = KeysFreedBy::NoOwner;
   // Time from which on the previous owner was taken to hold nothing.
   base::TimePoint freedAt{};
+  LastGrant lastGrant = LastGrant::OfPredecessor;
 };
 
 // Hot keys that were given to several servers in one step, for the log and the metrics.
--- a/libs/dispatch/include/dispatch/GrantLedger.h
+++ b/libs/dispatch/include/dispatch/GrantLedger.h
@@ -33,6 +33,8 @@
   // Returns the time at which all grants have expired; the latest time there is while a call is
   // open.
   base::TimePoint allExpireAt() const;
+  // Returns whether the grant that expires last was answered.
+  bool isLastAnswered() const { return isLastAnswered_; }
 
 private:
   struct Grant
@@ -45,12 +47,14 @@
     bool overlaps(KeyNumber first, KeyNumber last) const { return from <= last && first <= to; }
   };
 
+  void onCallEnded(base::TimePoint expiresAt, bool isAnswered);
   // Removes the oldest open call for these keys. Returns false if there is none.
   bool endCall(KeyNumber from, KeyNumber to, std::uint64_t fence);
 
   std::vector<Grant> open_;
   std::vector<Grant> unanswered_;
   base::TimePoint endedExpireAt_{};
+  bool isLastAnswered_ = false;
 };
 
 } // namespace sycamore::dispatch
--- a/libs/dispatch/include/dispatch/KeyCoordinator.h
+++ b/libs/dispatch/include/dispatch/KeyCoordinator.h
@@ -114,7 +114,7 @@
   void regrant(ManagedRange& managed);
   void reviewOwner(ManagedRange& managed, base::TimePoint now);
   // Lets the range have a new owner.
-  static void free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now);
+  void free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now) const;
   void renew(const base::ServiceId& service,
              ManagedRange& managed,
              CoordinatorActions& actions,
--- a/libs/dispatch/include/dispatch/ManagedRange.h
+++ b/libs/dispatch/include/dispatch/ManagedRange.h
@@ -46,6 +46,7 @@
   // Why and since when the range has no owner. Valid in the phase Unowned.
   KeysFreedBy freedBy = KeysFreedBy::NoOwner;
   base::TimePoint freedAt{};
+  LastGrant lastGrant = LastGrant::OfPredecessor;
 };
 
 // Ranges of one service, sorted, without gaps or overlaps.
--- a/libs/dispatch/src/GrantLedger.cpp
+++ b/libs/dispatch/src/GrantLedger.cpp
@@ -20,7 +20,7 @@
                                  base::TimePoint expiresAt)
 {
   if (endCall(from, to, fence)) {
-    endedExpireAt_ = std::max(endedExpireAt_, expiresAt);
+    onCallEnded(expiresAt, true);
   }
 }
 
@@ -32,7 +32,7 @@
   if (!endCall(from, to, fence)) {
     return;
   }
-  endedExpireAt_ = std::max(endedExpireAt_, expiresAt);
+  onCallEnded(expiresAt, false);
   // A later grant of the same keys replaces an earlier one.
   std::erase_if(unanswered_, [&](const Grant& grant) {
     return grant.from == from && grant.to == to && grant.expiresAt <= expiresAt;
@@ -61,6 +61,14 @@
   return open_.empty() ? endedExpireAt_ : base::TimePoint::max();
 }
 
+void GrantLedger::onCallEnded(base::TimePoint expiresAt, bool isAnswered)
+{
+  if (expiresAt >= endedExpireAt_) {
+    endedExpireAt_ = expiresAt;
+    isLastAnswered_ = isAnswered;
+  }
+}
+
 bool GrantLedger::endCall(KeyNumber from, KeyNumber to, std::uint64_t fence)
 {
   const auto call = std::ranges::find_if(open_, [&](const Grant& grant) {
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -398,11 +398,15 @@
   }
 }
 
-void KeyCoordinator::free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now)
+void KeyCoordinator::free(ManagedRange& managed, KeysFreedBy by, base::TimePoint now) const
 {
+  const GrantLedger* const grants = grantsToOwner(managed.range);
   managed.phase = Phase::Unowned;
   managed.freedBy = by;
   managed.freedAt = now;
+  if (grants != nullptr) {
+    managed.lastGrant = grants->isLastAnswered() ? LastGrant::Answered : LastGrant::Unanswered;
+  }
 }
 
 void KeyCoordinator::renew(const base::ServiceId& service,
@@ -480,7 +484,7 @@
     managed.range.fence = std::max(managed.range.fence + kOwnerStep, record_.fenceFloor);
     managed.target.reset();
     actions.ownerChanges.push_back(
-      { service, previous, managed.range, managed.freedBy, managed.freedAt });
+      { service, previous, managed.range, managed.freedBy, managed.freedAt, managed.lastGrant });
     managed.phase = Phase::AwaitingWrite;
     hasUnwrittenChanges_ = true;
   }
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -39,6 +39,17 @@
   std::uint64_t maxAnswerBytes = kMaxAnswerBytes;
 };
 
+// How the answers to calls with an id could be told from answers to other calls.
+struct CallAnswers
+{
+  // They carried the call's id, no id, or that of another call, which were skipped.
+  std::uint64_t ownId = 0;
+  std::uint64_t withoutId = 0;
+  std::uint64_t otherId = 0;
+  // They came while no call was open on their connection.
+  std::uint64_t unasked = 0;
+};
+
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
 // resets its connection, so that it can't arrive later, and closes the idle connections to the same
 // address that haven't answered since. An answer to a call with an id must repeat
@@ -59,6 +70,9 @@
   // Closes the idle connections to this address.
   void closeIdle(const dispatch::Endpoint& endpoint);
 
+  // Returns what was counted since the start of the process.
+  CallAnswers answers() const;
+
 private:
   struct Pending;
   using EndpointKey = std::pair<std::string, std::uint16_t>;
@@ -67,10 +81,12 @@
   void awaitTimeout(const std::shared_ptr<Pending>& pending);
   void onTimeout(Pending& pending);
   IdleConnections& idleConnectionsOf(const dispatch::Endpoint& endpoint);
+  void count(const ExchangeResult& result);
 
   asio::io_context& context_;
   BufferQuota quota_;
   std::map<EndpointKey, IdleConnections> idleConnections_;
+  CallAnswers answers_;
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ControlStatus.h
+++ b/libs/entry/include/entry/ControlStatus.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <entry/ByteCounts.h>
+#include <entry/CallClient.h>
 
 #include <dispatch/QuotaIssuer.h>
 
@@ -45,6 +46,8 @@
   std::uint64_t hotSpanSpreads = 0;
   // Number of tokens in answers to releases that were dropped because they can't be passed on.
   std::uint64_t malformedTokens = 0;
+  // Answers of servers to the grants and releases of this VM.
+  CallAnswers orderAnswers;
   std::size_t entryVms = 0;
   // Requests of workspaces' quotas that this VM has lent as coordinator.
   dispatch::QuotaIssuer::Counts quotas;
--- a/libs/entry/include/entry/IdleConnections.h
+++ b/libs/entry/include/entry/IdleConnections.h
@@ -2,6 +2,7 @@
 
 #include <entry/ServerConnection.h>
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -20,6 +21,9 @@
 
   void put(const std::shared_ptr<ServerConnection>& connection);
 
+  // Returns how many connections ended because bytes arrived that no call had asked for.
+  std::size_t unaskedAnswers() const { return *unaskedAnswers_; }
+
   // Closes all connections. Returns their number.
   std::size_t closeAll();
 
@@ -32,6 +36,7 @@
 
   // Shared with the connections' idle listeners, which may outlive this object.
   std::shared_ptr<List> list_ = std::make_shared<List>();
+  std::shared_ptr<std::size_t> unaskedAnswers_ = std::make_shared<std::size_t>(0);
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -42,6 +42,8 @@
   bool reused = false;
   // Whether the answer carries the request's id.
   bool isIdentified = false;
+  // Number of answers to other requests that came first.
+  unsigned foreignAnswers = 0;
   // Bytes of the request and of all that was received.
   std::size_t bytes = 0;
   // Whether a byte was received after the request.
@@ -66,6 +68,8 @@
 {
 public:
   using Finished = std::function<void(ExchangeResult)>;
+  // Called when an idle connection ends, with the number of bytes that it received before.
+  using IdleEndListener = std::function<void(std::size_t)>;
 
   // `quota` bounds the received bytes of all connections that share it.
   ServerConnection(asio::io_context& context,
@@ -101,11 +105,14 @@
   // Returns whether the current exchange has begun to send.
   bool sendStarted() const { return sendStarted_; }
 
+  // Returns whether the connection had carried another exchange before the current one.
+  bool reused() const { return exchanges_ > 1; }
+
   // Returns the number of bytes that the current exchange has received.
   std::size_t receivedBytes() const { return receivedBytes_; }
 
   // Watches the idle connection and calls the listener when it ends.
-  void watchIdle(std::function<void()> idleEndListener);
+  void watchIdle(IdleEndListener idleEndListener);
 
   // Accepts answers without an id from now on, in the order of the requests: the server has
   // answered a request on this connection without repeating its id.
@@ -170,6 +177,7 @@
   std::uint64_t maxAnswerBytes_ = kMaxAnswerBytes;
   unsigned exchanges_ = 0;
   unsigned skippedAnswers_ = 0;
+  unsigned foreignAnswers_ = 0;
   AnswerReader reader_;
   std::string requestId_;
   // Whether the last answer carried the id of its request.
@@ -177,7 +185,7 @@
   bool acceptsUnidentified_ = false;
   Finished finished_;
   std::function<bool()> sendCondition_;
-  std::function<void()> idleEndListener_;
+  IdleEndListener idleEndListener_;
   base::TimePoint reusableUntil_{};
   base::TimePoint openedAt_{};
   base::TimePoint lastAnswerAt_{};
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -74,6 +74,9 @@
     now + connectTimeout,
     [this, pending, needsId, endpoint = call.endpoint](ExchangeResult result) {
       pending->timer.cancel();
+      if (needsId) {
+        count(result);
+      }
       if (result.reusable) {
         if (needsId && !result.isIdentified) {
           pending->connection->acceptUnidentifiedAnswers();
@@ -112,6 +115,7 @@
   ExchangeResult result;
   result.end = pending.connection->sendStarted() ? ExchangeEnd::Broken : ExchangeEnd::NotSent;
   result.timedOut = true;
+  result.reused = pending.connection->reused();
   result.connectionAge = pending.connection->age(clockNow());
   result.idleClosed = idleConnectionsOf(pending.endpoint).closeUnconfirmedSince(pending.sentAt);
   pending.connection->abandon();
@@ -130,6 +134,23 @@
   idleConnectionsOf(endpoint).closeAll();
 }
 
+CallAnswers CallClient::answers() const
+{
+  CallAnswers result = answers_;
+  for (const auto& [endpoint, connections] : idleConnections_) {
+    result.unasked += connections.unaskedAnswers();
+  }
+  return result;
+}
+
+void CallClient::count(const ExchangeResult& result)
+{
+  answers_.otherId += result.foreignAnswers;
+  if (result.end == ExchangeEnd::Answered) {
+    ++(result.isIdentified ? answers_.ownId : answers_.withoutId);
+  }
+}
+
 IdleConnections& CallClient::idleConnectionsOf(const dispatch::Endpoint& endpoint)
 {
   return idleConnections_[{ endpoint.ip, endpoint.port }];
--- a/libs/entry/src/ControlStatus.cpp
+++ b/libs/entry/src/ControlStatus.cpp
@@ -79,6 +79,13 @@
   telemetry::writeMetricHeader(
     out, tokens, "Tokens in answers to releases that can't be passed on.", "counter");
   out += tokens + ' ' + std::to_string(status.malformedTokens) + '\n';
+  const std::string orders = "sycamore_entry_order_answers_total";
+  telemetry::writeMetricHeader(
+    out, orders, "Answers to grants and releases by the id that they carried.", "counter");
+  call(out, orders, "own_id", status.orderAnswers.ownId);
+  call(out, orders, "no_id", status.orderAnswers.withoutId);
+  call(out, orders, "other_id", status.orderAnswers.otherId);
+  call(out, orders, "unasked", status.orderAnswers.unasked);
   const std::string quotas = "sycamore_entry_quota_requests_total";
   telemetry::writeMetricHeader(
     out, quotas, "Requests of quotas that this VM lent, denied and got back.", "counter");
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -21,9 +21,14 @@
 // Bytes that the body of a server's answer to a grant or a release may have. Only its head counts.
 constexpr std::uint64_t kMaxOrderAnswerBytes = 16UL * 1024;
 
+std::int64_t milliseconds(base::Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 std::int64_t millisecondsFrom(base::TimePoint from, base::TimePoint to)
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+  return milliseconds(to - from);
 }
 
 } // namespace
@@ -399,36 +404,40 @@
     return term == term_ && coordinator_->maySend(order, clockNow());
   };
   const std::string id = call.requestId;
-  calls_.call(std::move(call), [this, order, id, term = term_](const ExchangeResult& result) {
-    bytes_.add("grant", order.server.domain == domain_, result.bytes);
-    const dispatch::GrantAnswer answer = grantAnswerOf(result);
-    if (answer != dispatch::GrantAnswer::Accepted) {
-      log_.write("grant_failed",
-                 { { "id", id },
-                   { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
-                   { "from", order.from },
-                   { "to", order.to },
-                   { "fence", order.fence },
-                   { "status", result.answer.status },
-                   { "end", static_cast<int>(result.end) },
-                   { "connection_reused", result.reused },
-                   { "idle_closed", result.idleClosed } });
-    }
-    if (term != term_) {
-      return;
-    }
-    const bool isAmbiguous = result.end == ExchangeEnd::Malformed && result.reused;
-    const bool isForeign =
-      result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
-    if (isAmbiguous || isForeign) {
-      // The next call gets a new connection, where the answer is certain to be its own.
-      calls_.closeIdle(endpointOf(order.server));
-    }
-    if (answer == dispatch::GrantAnswer::OtherServer) {
-      coordinator_->onServerProcessEnded(order.server);
-    }
-    coordinator_->onGrantAnswered(order, answer, clockNow());
-  });
+  const base::TimePoint begunAt = clockNow();
+  calls_.call(
+    std::move(call), [this, order, id, begunAt, term = term_](const ExchangeResult& result) {
+      bytes_.add("grant", order.server.domain == domain_, result.bytes);
+      const dispatch::GrantAnswer answer = grantAnswerOf(result);
+      if (answer != dispatch::GrantAnswer::Accepted) {
+        log_.write("grant_failed",
+                   { { "id", id },
+                     { "server", dispatch::incarnationOf(order.server.id, order.server.born) },
+                     { "from", order.from },
+                     { "to", order.to },
+                     { "fence", order.fence },
+                     { "status", result.answer.status },
+                     { "end", static_cast<int>(result.end) },
+                     { "open_ms", millisecondsFrom(begunAt, clockNow()) },
+                     { "connection_reused", result.reused },
+                     { "connection_ms", milliseconds(result.connectionAge) },
+                     { "idle_closed", result.idleClosed } });
+      }
+      if (term != term_) {
+        return;
+      }
+      const bool isAmbiguous = result.end == ExchangeEnd::Malformed && result.reused;
+      const bool isForeign =
+        result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
+      if (isAmbiguous || isForeign) {
+        // The next call gets a new connection, where the answer is certain to be its own.
+        calls_.closeIdle(endpointOf(order.server));
+      }
+      if (answer == dispatch::GrantAnswer::OtherServer) {
+        coordinator_->onServerProcessEnded(order.server);
+      }
+      coordinator_->onGrantAnswered(order, answer, clockNow());
+    });
 }
 
 void CoordinatorRole::sendRelease(const dispatch::ReleaseOrder& order)
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -725,6 +725,7 @@
   status.entryVms = view_.entryVms;
   status.quotas = quotaSharing_.counts();
   status.malformedTokens = coordinatorRole_.malformedTokens();
+  status.orderAnswers = calls_.answers();
   for (std::size_t i = 0; i < mirrors_.size(); ++i) {
     status.secondsBehind.at(i) =
       std::chrono::duration<double>(mirrors_[i]->timeBehind(clockNow())).count();
--- a/libs/entry/src/IdleConnections.cpp
+++ b/libs/entry/src/IdleConnections.cpp
@@ -27,7 +27,10 @@
 void IdleConnections::put(const std::shared_ptr<ServerConnection>& connection)
 {
   list_->push_back(connection);
-  connection->watchIdle([weak = std::weak_ptr(list_), raw = connection.get()] {
+  connection->watchIdle([weak = std::weak_ptr(list_),
+                         unaskedAnswers = unaskedAnswers_,
+                         raw = connection.get()](std::size_t receivedBytes) {
+    *unaskedAnswers += receivedBytes > 0 ? 1 : 0;
     if (const auto list = weak.lock()) {
       std::erase_if(*list, [raw](const auto& idle) { return idle.get() == raw; });
     }
--- a/libs/entry/src/OwnerChangeLog.cpp
+++ b/libs/entry/src/OwnerChangeLog.cpp
@@ -28,6 +28,19 @@
   return "";
 }
 
+const char* nameOf(dispatch::LastGrant lastGrant)
+{
+  switch (lastGrant) {
+    case dispatch::LastGrant::OfPredecessor:
+      return "of a predecessor";
+    case dispatch::LastGrant::Answered:
+      return "answered";
+    case dispatch::LastGrant::Unanswered:
+      return "unanswered";
+  }
+  return "";
+}
+
 } // namespace
 
 void logOwnerChanges(EventLog& log,
@@ -46,6 +59,7 @@
       line = { { "previous", previous },
                { "freed_by", nameOf(change.freedBy) },
                { "free_ms", freeFor.count() },
+               { "last_grant", nameOf(change.lastGrant) },
                { "epoch", epoch },
                { "more_ranges", 0 } };
     }
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -76,6 +76,7 @@
   receivedBytes_ = 0;
   memory_ = quota_.reserve();
   skippedAnswers_ = 0;
+  foreignAnswers_ = 0;
   ++exchanges_;
   requestId_ = std::move(requestId);
   headOnly_ = headOnly;
@@ -190,7 +191,7 @@
     if (idleEndListener_) {
       const auto idleEndListener = std::move(idleEndListener_);
       idleEndListener_ = nullptr;
-      idleEndListener();
+      idleEndListener(count);
     }
     return;
   }
@@ -263,6 +264,7 @@
     finish(ExchangeEnd::TooLarge);
     return;
   }
+  foreignAnswers_ += isForOtherRequest ? 1 : 0;
   // Skip an interim answer or a late answer to an earlier request, and read the next one.
   reader_.start(kAnswerHeaderLimit, maxAnswerBytes_, headOnly_);
   if (in_.empty()) {
@@ -282,8 +284,9 @@
   result.end = end;
   result.bytes = exchangedBytes_;
   result.answerBegan = receivedBytes_ > 0;
-  result.reused = exchanges_ > 1;
+  result.reused = reused();
   result.isIdentified = isIdentified_;
+  result.foreignAnswers = foreignAnswers_;
   result.connectionAge = age(clockNow());
   result.fault = end == ExchangeEnd::Malformed ? faultOf(reader_) : "";
   if (end == ExchangeEnd::Answered) {
@@ -311,7 +314,7 @@
   close();
 }
 
-void ServerConnection::watchIdle(std::function<void()> idleEndListener)
+void ServerConnection::watchIdle(IdleEndListener idleEndListener)
 {
   idleEndListener_ = std::move(idleEndListener);
   if (!readPending_) {
--- a/libs/entry/tests/OwnershipAnswersTest.cpp
+++ b/libs/entry/tests/OwnershipAnswersTest.cpp
@@ -51,6 +51,7 @@
   }
 
   const FakeServer& server() const { return server_; }
+  CallAnswers counts() const { return client_.answers(); }
 
 private:
   asio::io_context context_;
@@ -110,6 +111,19 @@
   CHECK(calls.server().accepted() == 1);
 }
 
+// Guards against an incident in which nothing tells whether servers repeat ids or answer twice.
+TEST_CASE("answers to calls are counted by the id that they carry")
+{
+  Calls calls({ validAnswer("1", ""), validAnswer("1", "") + validAnswer("2", "") });
+  calls.call(false, "1");
+  calls.call(false, "2");
+  CHECK(calls.counts().ownId == 2);
+  CHECK(calls.counts().otherId == 1);
+  Calls others({ kAccepted });
+  others.call(false, "1");
+  CHECK(others.counts().withoutId == 1);
+}
+
 // Guards against a call whose answer is taken for an interim one, or for one with a meaning.
 TEST_CASE("a status that no answer has leaves the outcome of a grant or a release unknown")
 {
