Show that a server may read a grant after its call was given up

Cause: a call that got no answer in 0.3 s is taken to have no effect after that, since its connection is reset. A busy server reads a new connection late, and the bytes lie in its socket; on this kernel they can be read after the reset too.

--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <set>
 
@@ -127,6 +128,16 @@
     }
   }
 
+  // Lets calls go on for a time in which no decision is made.
+  void runCalls(milliseconds time)
+  {
+    const base::TimePoint deadline = clockNow() + time;
+    while (clockNow() < deadline) {
+      context_.restart();
+      context_.run_one_for(milliseconds(20));
+    }
+  }
+
   // Returns whether this VM has become the coordinator.
   bool tryTakeover()
   {
@@ -258,6 +269,35 @@
   CHECK(server.accepted() > acceptedBefore);
 }
 
+// Guards against two owners of a key: a busy server reads a new connection late, and gets a grant
+// whose call was given up, if the reset of the connection is lost or stands behind it.
+TEST_CASE("a server that reads a connection late finds no grant that was given up")
+{
+  Role role;
+  FakeServer server(role.context(), [](const std::string& request) {
+    return FakeServer::Reaction{ validAnswer(requestIdOf(request), "") };
+  });
+  const base::ServiceId service("layout");
+  const dispatch::BackendServer registered = serverAt(server.port(), service);
+  dispatch::OwnershipRecord record = recordOf(role.self());
+  record.services[service] = { { 0, dispatch::kLastKey, registered.id, 1, 3 } };
+  role.store().setRecord(record);
+  REQUIRE(role.tryTakeover());
+  role.coordinator().setServices({ { service, { 120, 10, true } } });
+  role.coordinator().setServers({ { registered.id, registered } }, clockNow());
+  server.holdNewConnections();
+  role.runUntil([&] { return server.accepted() > 0; });
+  REQUIRE(server.accepted() > 0);
+  role.runCalls(std::chrono::duration_cast<milliseconds>(role.settings().callTimeout) * 2);
+  server.readHeldConnections();
+  role.runCalls(milliseconds(200));
+  CHECK(std::ranges::none_of(server.requests(), [](const std::string& request) {
+    return request.find(R"("fence":3)") != std::string::npos;
+  }));
+  role.runUntil([&] { return server.requests().size() > 1; });
+  CHECK(server.requests().back().find(R"("fence":3)") != std::string::npos);
+}
+
 // Guards against one spoiled answer that ends the coordinator's process.
 TEST_CASE(
   "a spoiled token in the answer to a release is dropped, and the keys get their next owner")
--- a/libs/entry/tests/FakeServer.cpp
+++ b/libs/entry/tests/FakeServer.cpp
@@ -23,6 +23,11 @@
   unsigned accepted = 0;
   unsigned ended = 0;
   unsigned toReset = 0;
+  bool holdsNewConnections = false;
+  std::vector<std::shared_ptr<Connection>> held;
+
+  static void read(const std::shared_ptr<State>& state,
+                   const std::shared_ptr<Connection>& connection);
 };
 
 namespace {
@@ -130,6 +135,17 @@
 
 } // namespace
 
+void FakeServer::State::read(const std::shared_ptr<State>& state,
+                             const std::shared_ptr<Connection>& connection)
+{
+  connection->read(
+    [state](const std::string& request) {
+      state->requests.push_back(request);
+      return state->react(request);
+    },
+    [state] { ++state->ended; });
+}
+
 FakeServer::FakeServer(asio::io_context& context, React react)
   : acceptor_(context, { asio::ip::make_address("127.0.0.1"), 0 })
   , state_(std::make_shared<State>())
@@ -172,6 +188,19 @@
   }
 }
 
+void FakeServer::holdNewConnections()
+{
+  state_->holdsNewConnections = true;
+}
+
+void FakeServer::readHeldConnections()
+{
+  state_->holdsNewConnections = false;
+  for (const auto& connection : std::exchange(state_->held, {})) {
+    State::read(state_, connection);
+  }
+}
+
 unsigned FakeServer::accepted() const
 {
   return state_->accepted;
@@ -197,12 +226,11 @@
       return;
     }
     state->connections.push_back(connection);
-    connection->read(
-      [state](const std::string& request) {
-        state->requests.push_back(request);
-        return state->react(request);
-      },
-      [state] { ++state->ended; });
+    if (state->holdsNewConnections) {
+      state->held.push_back(connection);
+    } else {
+      State::read(state, connection);
+    }
     accept();
   });
 }
--- a/libs/entry/tests/FakeServer.h
+++ b/libs/entry/tests/FakeServer.h
@@ -49,6 +49,10 @@
   // Lets the oldest connections go silent: they stay open, and no request on them is answered or
   // recorded any more.
   void silenceConnections(std::size_t count);
+  // Accepts new connections without reading them, until readHeldConnections().
+  void holdNewConnections();
+  // Reads the connections that were held, each until its end.
+  void readHeldConnections();
   // Returns the number of connections that the server has accepted.
   unsigned accepted() const;
   // Returns the number of connections that the other side has ended.
