Write grants only to connections on which the server has answered

Cause: a grant was written to a new connection at once. A busy server reads a new connection late; the call had been given up after 0.3 s, and the lifetime of the grant was reckoned from there. The reset that was to prevent a later effect is lost in a silent cut, and what was received before a reset can still be read. Grants wait for an answered connection, for callTimeout at most, and then count as not sent, which is true. A connection that is read late serves later calls.

--- a/libs/dispatch/include/dispatch/CoordinatorSettings.h
+++ b/libs/dispatch/include/dispatch/CoordinatorSettings.h
@@ -11,8 +11,8 @@
   base::Duration grantDuration = base::milliseconds(2800);
   // Interval between two grants of the same range.
   base::Duration renewalInterval = base::milliseconds(800);
-  // Time after which an unanswered call is abandoned and its connection reset, so that the call
-  // can't arrive later.
+  // Time after which an unanswered call is abandoned. A call that was sent has arrived by then or
+  // doesn't arrive: calls are sent only to servers that read the connection.
   base::Duration callTimeout = base::milliseconds(300);
   // Timeout of a release, which is answered only after the work on its keys has ended. The server
   // ends that work with the grant. A second release might be answered before the work has ended, so
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -2,13 +2,22 @@
 
 #include <entry/IdleConnections.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sycamore::entry {
 
+// A call without effect, with the method and the headers of the call that it precedes.
+struct OpeningCall
+{
+  std::string path;
+  std::string body;
+};
+
 // An HTTP call with an optional JSON body to the store or to a backend server.
 struct Call
 {
@@ -33,6 +42,10 @@
   // Whether the call needs a connection that carried no other call, where no late answer to an
   // earlier one can be taken for its own.
   bool needsNewConnection = false;
+  // Call that a new connection carries first; empty if there is none. The call itself is written
+  // only to a connection on which the server has answered: nothing tells when a busy server begins
+  // to read a new one, and it may read what was written after the connection was reset.
+  std::optional<OpeningCall> opening;
   // Time that the call may take altogether while bytes of its answer arrive.
   base::Duration maxDuration{};
   // Bytes that the body of the answer may have.
@@ -51,9 +64,10 @@
 };
 
 // Sends HTTP calls over persistent connections. A call that isn't answered within its timeout
-// resets its connection, so that it can't arrive later, and closes the idle connections to the same
-// address that haven't answered since. An answer to a call with an id must repeat
-// the id, unless the first answer on that connection didn't. Control thread only.
+// resets its connection and closes the idle connections to the same address that haven't answered
+// since. A call with an opening is written only to connections on which the server has answered. An
+// answer to a call with an id must repeat the id, unless the first answer on that connection
+// didn't. Control thread only.
 class CallClient
 {
 public:
@@ -61,6 +75,7 @@
 
   // `quota` bounds the memory for answers.
   CallClient(asio::io_context& context, const BufferQuota& quota);
+  ~CallClient();
 
   void call(Call call, Finished finished);
 
@@ -75,17 +90,28 @@
 
 private:
   struct Pending;
+  struct Opening;
+  struct Destination;
   using EndpointKey = std::pair<std::string, std::uint16_t>;
 
+  void start(const std::shared_ptr<Pending>& pending,
+             const std::shared_ptr<ServerConnection>& connection);
+  void onEnded(Pending& pending, ExchangeResult result);
+  // Opens another connection for the calls that wait for one, unless enough are being opened.
+  void openConnection(const Call& call);
+  void onOpened(Opening& opening, ExchangeResult result);
+  // Starts calls that wait on the connections that have become idle.
+  void serveWaiting(Destination& destination);
   // Waits until the call has made no progress for its timeout, or has taken too long.
   void awaitTimeout(const std::shared_ptr<Pending>& pending);
   void onTimeout(Pending& pending);
-  IdleConnections& idleConnectionsOf(const dispatch::Endpoint& endpoint);
+  static void finish(Pending& pending, ExchangeResult result);
+  Destination& destinationOf(const dispatch::Endpoint& endpoint);
   void count(const ExchangeResult& result);
 
   asio::io_context& context_;
   BufferQuota quota_;
-  std::map<EndpointKey, IdleConnections> idleConnections_;
+  std::map<EndpointKey, std::unique_ptr<Destination>> destinations_;
   CallAnswers answers_;
 };
 
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -399,6 +399,7 @@
 {
   Call call = callTo(order.server, wire::grantPath());
   call.body = wire::grantBody(order, settings_.grantDuration);
+  call.opening = { wire::grantPath(), wire::emptyGrantBody(settings_.grantDuration) };
   call.timeout = settings_.callTimeout;
   call.maySend = [this, order, term = term_] {
     return term == term_ && coordinator_->maySend(order, clockNow());
--- a/libs/entry/src/ServerConnection.cpp
+++ b/libs/entry/src/ServerConnection.cpp
@@ -322,7 +322,8 @@
   }
 }
 
-// Resets the connection, so that bytes in transit don't reach the server later.
+// Resets the connection, which drops what isn't sent yet. The server may still read what it has
+// received.
 void ServerConnection::close()
 {
   if (closed_) {
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -184,6 +184,12 @@
   return server;
 }
 
+// Returns whether this is the call that a new connection carries first.
+bool isEmptyGrant(const std::string& request)
+{
+  return request.find(R"("fence":0,)") != std::string::npos;
+}
+
 bool waitsForOthers(const Role& role)
 {
   const base::TimePoint now = clockNow();
@@ -315,7 +321,9 @@
     });
     std::string grant;
     FakeServer next(role.context(), [&](const std::string& request) {
-      grant = request;
+      if (!isEmptyGrant(request)) {
+        grant = request;
+      }
       return FakeServer::Reaction{ validAnswer(requestIdOf(request), "") };
     });
     const base::ServiceId service("layout");
