Don't take a late copy of an answer for the next request's

What callers would see: the answer of another caller's request, under their own request id, if a server sends a second copy of an answer on a kept connection. Cause: HttpClientPool gave out idle connections without a look at what had arrived on them, and cpp-httplib takes one with unread bytes for alive. Answer overwrote the id that servers repeat in their answers without comparing it. Evidence: by test, not seen in operation. Fix: a connection on which anything has arrived while it was idle isn't reused, whatever the server puts in its answers. For copies that arrive after the next request was sent, an answer that names another request's id ends the exchange like a lost connection: its outcome is unknown, since the request was sent, and idempotent ones are retried on another connection. Left: a copy that arrives in that moment from a server that doesn't repeat ids, or that belongs to an earlier attempt of the same request.

--- a/libs/router/include/router/Answer.h
+++ b/libs/router/include/router/Answer.h
@@ -13,7 +13,8 @@
 
 // Streams the answer of a backend server, or of the lease holder, to the caller as it arrives. An
 // answer whose outcome is not-run or unknown is held back, so that the request can be retried or
-// refused. Used by one traffic thread.
+// refused. An answer that names another request's id ends the exchange like a lost connection: a
+// server may have sent a second copy of an earlier answer. Used by one traffic thread.
 class Answer
 {
 public:
@@ -46,6 +47,7 @@
   bool isCallerDisconnected() const { return callerDisconnected_; }
 
 private:
+  bool belongsToOtherRequest(const transport::ResponseHead& head) const;
   bool onHead(const transport::ResponseHead& head, const base::ServerId& from, Sender sender);
   void setRouterHeaders(const base::ServerId& from, Sender sender);
   bool onBody(std::string_view part);
@@ -57,6 +59,7 @@
   std::string storedBody_;
   bool isStoredBodyComplete_ = true;
   bool headReceived_ = false;
+  bool receivedOtherAnswer_ = false;
   bool heldBack_ = false;
   bool committed_ = false;
   bool callerDisconnected_ = false;
--- a/libs/router/src/Answer.cpp
+++ b/libs/router/src/Answer.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char* kOutcomeHeaderLower = "sycamore-outcome";
 constexpr const char* kReasonHeaderLower = "sycamore-reason";
+constexpr const char* kRequestIdHeaderLower = "sycamore-request-id";
 
 std::optional<std::size_t> contentLengthOf(const ResponseHead& head)
 {
@@ -47,13 +48,24 @@
 {
   head_ = {};
   headReceived_ = false;
+  receivedOtherAnswer_ = false;
   heldBack_ = false;
   return { [this, from, sender](const ResponseHead& head) { return onHead(head, from, sender); },
            [this](std::string_view part) { return onBody(part); } };
 }
 
+bool Answer::belongsToOtherRequest(const ResponseHead& head) const
+{
+  const auto id = head.header(kRequestIdHeaderLower);
+  return id && *id != id_.value();
+}
+
 bool Answer::onHead(const ResponseHead& head, const base::ServerId& from, Sender sender)
 {
+  receivedOtherAnswer_ = belongsToOtherRequest(head);
+  if (receivedOtherAnswer_) {
+    return false;
+  }
   head_ = head;
   headReceived_ = true;
   heldBack_ = isRefusal(head);
@@ -151,7 +163,7 @@
   }
   if (result == ExchangeResult::TimedOut) {
     report.end = AttemptEnd::Timeout;
-  } else if (result == ExchangeResult::Aborted) {
+  } else if (result == ExchangeResult::Aborted && !receivedOtherAnswer_) {
     report.end = AttemptEnd::Cancelled;
   }
   return classifyAttempt(report);
--- a/libs/transport/include/transport/HttpClientPool.h
+++ b/libs/transport/include/transport/HttpClientPool.h
@@ -40,9 +40,10 @@
 };
 
 // Pool of keep-alive HTTP/1.1 connections to other processes, based on cpp-httplib. Never retries a
-// request by itself. A connection that broke, timed out or was aborted is not reused, and a timeout
-// also discards the idle connections to the same address that exist at that time, since they may
-// have become unresponsive for the same reason. Thread-safe.
+// request by itself. A connection that broke, timed out or was aborted is not reused, nor is one on
+// which bytes arrived while it was idle, such as a second copy of an answer. A timeout also
+// discards the idle connections to the same address that exist at that time, since they may have
+// become unresponsive for the same reason. Thread-safe.
 class HttpClientPool
 {
 public:
--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -9,6 +9,7 @@
 #include <list>
 #include <mutex>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -30,6 +31,14 @@
   TimePoint lastUsedAt;
 };
 
+// Returns whether nothing has arrived on an idle connection. Bytes that arrived would be read as
+// the answer to the next request, and the end of the stream means that the peer has closed it.
+bool isQuiet(const Connection& connection)
+{
+  pollfd entry{ connection.client->socket(), POLLIN | POLLRDHUP, 0 };
+  return poll(&entry, 1, 0) == 0;
+}
+
 std::string toLower(std::string text)
 {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
@@ -176,12 +185,15 @@
 private:
   std::optional<Connection> acquireIdle(const std::string& address)
   {
-    std::list<Connection> expired;
+    std::list<Connection> unusable;
     std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
     const TimePoint oldestAllowed = SteadyClock().now() - limits_.maxIdle;
     while (!idle.empty() && idle.back().lastUsedAt < oldestAllowed) {
-      expired.splice(expired.end(), idle, std::prev(idle.end()));
+      unusable.splice(unusable.end(), idle, std::prev(idle.end()));
+    }
+    while (!idle.empty() && !isQuiet(idle.front())) {
+      unusable.splice(unusable.end(), idle, idle.begin());
     }
     if (idle.empty()) {
       return std::nullopt;
