Send each release on a new connection, so that no copied answer ends it

In a planned move, a late copy of the answer "released" to an earlier release ended the next one on the same kept connection: the holder wrote the map and the next owner was granted shards that the first server still held and might still work on. Cause: answers to releases carry no id. That connections with unread bytes aren't reused doesn't suffice, since a server answers a release only when its work on the shards has ended or wait_ms has passed, and a copy may arrive in that time. Evidence: by test, not seen in operation. Fix: a release opens a connection, on which nothing but its own answer can come. Releases are rare (planned moves only, one at a time per server), and a release that is read late removes shards until the next grant, no more.

--- a/libs/control/include/control/ControlIo.h
+++ b/libs/control/include/control/ControlIo.h
@@ -31,7 +31,8 @@
             const std::string& path,
             std::string body,
             base::TimePoint deadline,
-            Done done);
+            Done done,
+            transport::ConnectionUse use = transport::ConnectionUse::Any);
   void send(std::string address,
             transport::ClientRequest request,
             base::TimePoint deadline,
--- a/libs/control/src/ControlIo.cpp
+++ b/libs/control/src/ControlIo.cpp
@@ -20,9 +20,11 @@
                      const std::string& path,
                      std::string body,
                      base::TimePoint deadline,
-                     Done done)
+                     Done done,
+                     transport::ConnectionUse use)
 {
   transport::ClientRequest request;
+  request.connectionUse = use;
   request.path = path;
   request.body = std::move(body);
   request.headers.emplace_back("Content-Type", "application/json");
--- a/libs/control/src/OwnershipController.cpp
+++ b/libs/control/src/OwnershipController.cpp
@@ -356,13 +356,16 @@
                       { "overrides", json::array() },
                       { "wait_ms", kReleaseWaitTimeout.count() } };
   managed.releaseInFlight = true;
-  context_.io.post(managed.address,
-                   "/sycamore/release",
-                   body.dump(),
-                   context_.now() + kReleaseTimeout,
-                   [this, server = managed.server, sent = action.request](const auto& response) {
-                     onReleaseAnswer(server, sent, response);
-                   });
+  // Answers to releases carry no id, and an earlier one must not end this release.
+  context_.io.post(
+    managed.address,
+    "/sycamore/release",
+    body.dump(),
+    context_.now() + kReleaseTimeout,
+    [this, server = managed.server, sent = action.request](const auto& response) {
+      onReleaseAnswer(server, sent, response);
+    },
+    transport::ConnectionUse::New);
 }
 
 void OwnershipController::onReleaseAnswer(const ServerId& server,
--- a/libs/transport/include/transport/HttpExchange.h
+++ b/libs/transport/include/transport/HttpExchange.h
@@ -18,6 +18,15 @@
 // Passes a request body part by part to `write`. Returns false if the body is incomplete.
 using BodySource = std::function<bool(const BodyWriter& write)>;
 
+// The connection that a request may use.
+enum class ConnectionUse
+{
+  // A kept connection if there is one.
+  Any,
+  // A new connection, on which no late copy of the answer to an earlier request can arrive.
+  New
+};
+
 // A request to another process. The body is either held in memory or streamed from a source.
 struct ClientRequest
 {
@@ -28,6 +37,7 @@
   BodySource bodySource;
   // Length of a streamed body in bytes; absent for a chunked one.
   std::optional<std::size_t> bodyLength;
+  ConnectionUse connectionUse = ConnectionUse::Any;
 };
 
 // Status and headers of an answer. Header names are in lowercase.
--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -144,10 +144,12 @@
   {
   }
 
-  Connection acquire(const std::string& address)
+  Connection acquire(const std::string& address, ConnectionUse use)
   {
-    if (auto idle = acquireIdle(address)) {
-      return std::move(*idle);
+    if (use == ConnectionUse::Any) {
+      if (auto idle = acquireIdle(address)) {
+        return std::move(*idle);
+      }
     }
     const HostPort target = HostPort::parse(address);
     Connection connection;
@@ -287,7 +289,7 @@
   }
   Connection connection;
   try {
-    connection = impl_->acquire(address);
+    connection = impl_->acquire(address, request.connectionUse);
   } catch (const TransportError&) {
     // The address of a peer or a server is malformed, so nothing can be sent to it.
     return ExchangeResult::NotSent;
