Don't send another attempt on the connection of a refused one

What callers would see: a non-idempotent request runs twice within one call (I7), if a server sends a second copy of a refusal late. Evidence: by test, not seen in operation. Refusals are few, since the holder of the server's lease keeps to its slots; each costs a new connection (about 1 ms).

--- a/libs/router/src/Answer.cpp
+++ b/libs/router/src/Answer.cpp
@@ -51,7 +51,10 @@
   receivedOtherAnswer_ = false;
   heldBack_ = false;
   return { [this, from, sender](const ResponseHead& head) { return onHead(head, from, sender); },
-           [this](std::string_view part) { return onBody(part); } };
+           [this](std::string_view part) { return onBody(part); },
+           // A second copy of a refusal would be taken for the answer to the next attempt, which
+           // has the same id.
+           [this, sender] { return sender == Sender::EntryVm || !heldBack_; } };
 }
 
 bool Answer::belongsToOtherRequest(const ResponseHead& head) const
--- a/libs/transport/include/transport/HttpExchange.h
+++ b/libs/transport/include/transport/HttpExchange.h
@@ -57,6 +57,9 @@
   std::function<bool(const ResponseHead& head)> onHead;
   // Called for each part of the body. Returning false aborts the exchange.
   std::function<bool(std::string_view part)> onBody;
+  // Called after a complete answer. Returns whether later requests may use its connection; if
+  // absent, they may.
+  std::function<bool()> allowsReuse = nullptr;
 };
 
 // How an exchange ended.
--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -323,7 +323,8 @@
   scope.end();
   if (answered) {
     const auto connectionHeader = response.get_header_value("Connection");
-    if (connectionHeader != "close" && connection.client->is_socket_open() != 0) {
+    const bool allowsReuse = !receiver.allowsReuse || receiver.allowsReuse();
+    if (allowsReuse && connectionHeader != "close" && connection.client->is_socket_open() != 0) {
       impl_->release(address, std::move(connection));
     }
     return ExchangeResult::Complete;
