--- a/libs/transport/src/HttpClientPool.cpp
+++ b/libs/transport/src/HttpClientPool.cpp
@@ -9,6 +9,7 @@
 #include <list>
 #include <mutex>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -30,6 +31,14 @@
   TimePoint lastUsedAt;
 };
 
+// Returns whether nothing has arrived on an idle connection. Bytes that arrived would be read as
+// the answer to the next request, and the end of the stream means that the peer has closed it.
+bool isQuiet(const Connection& connection)
+{
+  pollfd entry{ connection.client->socket(), POLLIN | POLLRDHUP, 0 };
+  return poll(&entry, 1, 0) == 0;
+}
+
 std::string toLower(std::string text)
 {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
@@ -135,10 +144,12 @@
   {
   }
 
-  Connection acquire(const std::string& address)
+  Connection acquire(const std::string& address, ConnectionUse use)
   {
-    if (auto idle = acquireIdle(address)) {
-      return std::move(*idle);
+    if (use == ConnectionUse::Any) {
+      if (auto idle = acquireIdle(address)) {
+        return std::move(*idle);
+      }
     }
     const HostPort target = HostPort::parse(address);
     Connection connection;
@@ -176,12 +187,15 @@
 private:
   std::optional<Connection> acquireIdle(const std::string& address)
   {
-    std::list<Connection> expired;
+    std::list<Connection> unusable;
     std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
     const TimePoint oldestAllowed = SteadyClock().now() - limits_.maxIdle;
     while (!idle.empty() && idle.back().lastUsedAt < oldestAllowed) {
-      expired.splice(expired.end(), idle, std::prev(idle.end()));
+      unusable.splice(unusable.end(), idle, std::prev(idle.end()));
+    }
+    while (!idle.empty() && !isQuiet(idle.front())) {
+      unusable.splice(unusable.end(), idle, idle.begin());
     }
     if (idle.empty()) {
       return std::nullopt;
@@ -275,7 +289,7 @@
   }
   Connection connection;
   try {
-    connection = impl_->acquire(address);
+    connection = impl_->acquire(address, request.connectionUse);
   } catch (const TransportError&) {
     // The address of a peer or a server is malformed, so nothing can be sent to it.
     return ExchangeResult::NotSent;
@@ -309,7 +323,8 @@
   scope.end();
   if (answered) {
     const auto connectionHeader = response.get_header_value("Connection");
-    if (connectionHeader != "close" && connection.client->is_socket_open() != 0) {
+    const bool allowsReuse = !receiver.allowsReuse || receiver.allowsReuse();
+    if (allowsReuse && connectionHeader != "close" && connection.client->is_socket_open() != 0) {
       impl_->release(address, std::move(connection));
     }
     return ExchangeResult::Complete;
