Move the copy of the ownership record out of EntryControl

Cause: EntryControl.cpp has 821 lines and many jobs, so that a change of one needs all of it read. Change: OwnershipMirror reads the record from the store, adopts deltas and tells when the copy has changed. No change of behaviour: EntryControl still decides that only a VM that isn't the coordinator reads or takes deltas.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -7,6 +7,7 @@
 #include <entry/LimitSharing.h>
 #include <entry/LoadSharing.h>
 #include <entry/ObjectMirror.h>
+#include <entry/OwnershipMirror.h>
 #include <entry/PeerLink.h>
 #include <entry/QuotaSharing.h>
 #include <entry/ServerEntries.h>
@@ -18,7 +19,6 @@
 #include <dispatch/EntryVmRecord.h>
 #include <dispatch/FormerServers.h>
 #include <dispatch/LeavingServers.h>
-#include <dispatch/OwnershipCopy.h>
 #include <dispatch/PeerTable.h>
 #include <dispatch/RoutingView.h>
 
@@ -89,10 +89,6 @@
   void sendToAll(const PeerMessage& message);
   void relay(const ObjectChange& change);
   void onObjectChange(const ObjectChange& change);
-  void readOwnership();
-  void readOwnership(wire::ReadConsistency reading);
-  void onOwnershipRead(const StoreAnswer& answer, wire::ReadConsistency reading);
-  void adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision);
   void onOwnershipChanged();
   void onRecordConfirmed(const dispatch::OwnershipRecord& record,
                          const dispatch::OwnershipDelta& delta);
@@ -141,7 +137,7 @@
   ObjectMirror domainsOutMirror_;
   // All mirrors, in the order in which heartbeats list their revisions.
   std::array<ObjectMirror*, 3> mirrors_;
-  dispatch::OwnershipCopy ownership_;
+  OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
   dispatch::RoutingView view_;
   ServerEntries serverEntries_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -84,7 +84,7 @@
         onRecordConfirmed(record, delta);
       },
       [this](const dispatch::OwnershipRecord& record, std::uint64_t revision) {
-        adoptRecord(record, revision);
+        ownership_.adopt(record, revision);
       })
   , election_({}, clockNow())
   , configurationMirror_(
@@ -121,7 +121,7 @@
       [this](const auto& objects) { onDomainsOut(objects); },
       [this](const auto& change) { relay(change); })
   , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
-  , ownership_({}, clockNow())
+  , ownership_(store_, log, [this] { onOwnershipChanged(); })
   , tickTimer_(context)
   , serverEntries_(log)
   , peerTable_({})
@@ -327,44 +327,6 @@
                  message);
 }
 
-// Reads the ownership record. If it is known to have changed, a possibly outdated replica of the
-// store is enough as long as it has the change; otherwise onOwnershipRead() reads the current one.
-void EntryControl::readOwnership()
-{
-  readOwnership(ownership_.isBehind() ? wire::ReadConsistency::StaleAllowed
-                                      : wire::ReadConsistency::Current);
-}
-
-void EntryControl::readOwnership(wire::ReadConsistency reading)
-{
-  store_.read(wire::Kind::Ownership,
-              wire::kOwnershipName,
-              reading,
-              [this, reading](const StoreAnswer& answer) { onOwnershipRead(answer, reading); });
-}
-
-void EntryControl::onOwnershipRead(const StoreAnswer& answer, wire::ReadConsistency reading)
-{
-  if (answer.outcome == StoreOutcome::Done) {
-    try {
-      const wire::StoreObject object = wire::readObject(answer.body, answer.era);
-      // A replica may return a record that is older than the announced one. Without a copy, as
-      // after a start, such a record would bring back owners that have lost their keys since.
-      const bool isOutdated = reading == wire::ReadConsistency::StaleAllowed &&
-                              object.revision < ownership_.announcedRevision();
-      if (!isOutdated) {
-        adoptRecord(dispatch::readOwnershipRecord(wire::ownContent(object)), object.revision);
-      }
-    } catch (const base::Error& error) {
-      log_.write("ownership_unreadable", { { "error", error.what() } });
-    }
-  }
-  if (reading == wire::ReadConsistency::StaleAllowed && store_.reachable() &&
-      ownership_.isBehind()) {
-    readOwnership(wire::ReadConsistency::Current);
-  }
-}
-
 void EntryControl::onStoreRestored(std::uint64_t era)
 {
   const base::TimePoint now = clockNow();
@@ -388,17 +350,6 @@
   vmRegistry_.start();
 }
 
-void EntryControl::adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision)
-{
-  // The owners of the own copy are newer than those of a record that the store brought back.
-  if (ownership_.record() && dispatch::isFromBeforeRestoration(record, dispatch::eraOf(revision))) {
-    return;
-  }
-  if (ownership_.onRecordRead(std::move(record), revision)) {
-    onOwnershipChanged();
-  }
-}
-
 void EntryControl::onOwnershipChanged()
 {
   view_.ownership = ownership_.record();
@@ -414,7 +365,7 @@
 void EntryControl::onRecordConfirmed(const dispatch::OwnershipRecord& record,
                                      const dispatch::OwnershipDelta& delta)
 {
-  adoptRecord(record, delta.revision);
+  ownership_.adopt(record, delta.revision);
   for (const dispatch::OwnershipDelta& part : dispatch::splitDelta(delta, kRangesPerMessage)) {
     sendToAll(OwnershipDeltaMessage{ part });
   }
@@ -427,8 +378,8 @@
   } else if (const auto* report = std::get_if<ReportMessage>(&message)) {
     onReport(*report, from);
   } else if (const auto* change = std::get_if<OwnershipDeltaMessage>(&message)) {
-    if (!coordinatorRole_.active() && ownership_.applyDelta(change->delta, clockNow())) {
-      onOwnershipChanged();
+    if (!coordinatorRole_.active()) {
+      ownership_.onDelta(change->delta, clockNow());
     }
   } else if (const auto* relayed = std::get_if<ObjectChangeMessage>(&message)) {
     onObjectChange(relayed->change);
@@ -590,8 +541,8 @@
   updateLimits(now);
   updateQuotas(now);
   updateFreshness();
-  if (!coordinatorRole_.active() && ownership_.beginReadIfDue(now) && store_.mayCall(now)) {
-    readOwnership();
+  if (!coordinatorRole_.active()) {
+    ownership_.tick(now);
   }
   reportIfDue(now);
   loadSharing_.tick(view_, now);
