Move what is gathered for reports out of EntryControl

Cause: EntryControl merged the measurements for the next report in two places and kept their schedule itself. Change: PendingReport gathers them and decides when a report is due. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -9,6 +9,7 @@
 #include <entry/ObjectMirror.h>
 #include <entry/OwnershipMirror.h>
 #include <entry/PeerLink.h>
+#include <entry/PendingReport.h>
 #include <entry/QuotaSharing.h>
 #include <entry/ServerEntries.h>
 #include <entry/SteadyTime.h>
@@ -150,13 +151,9 @@
   bool isConfigurationInForce_ = false;
   VmRegistry vmRegistry_;
   // Measurements for the next report to the coordinator.
-  TrafficReport pendingReport_;
-  std::vector<ConnectionBreak> pendingConnectionBreaks_;
+  PendingReport pendingReport_;
   unsigned successionRank_ = 0;
   base::TimePoint nextHeartbeatAt_{};
-  base::TimePoint nextReportAt_{};
-  // Time from which on a report with hot keys may be sent.
-  base::TimePoint nextHotReportAt_{};
   // Epoch in which this VM, as coordinator, last listed the peers.
   std::uint64_t peersListedEpoch_ = 0;
   bool leaving_ = false;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -19,9 +19,6 @@
 constexpr std::chrono::milliseconds kServersSettleDelay{ 300 };
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
-constexpr base::Duration kReportInterval = base::milliseconds(500);
-// Minimum interval between two reports while keys are hot.
-constexpr base::Duration kHotReportInterval = base::milliseconds(100);
 // Number of ranges whose change fits into the payload of an Ethernet frame.
 constexpr std::size_t kRangesPerMessage = 25;
 // Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
@@ -36,8 +33,6 @@
 // Time for which a previous coordinator may still give out permits: until its last confirmation by
 // the store has become too old.
 constexpr base::Duration kIssuerOverlap = base::milliseconds(1500);
-// Maximum number of broken connections reported in one message.
-constexpr std::size_t kMaxPendingConnectionBreaks = 32;
 
 dispatch::CoordinatorSettings coordinatorSettings(const dispatch::EntrySettings& settings)
 {
@@ -163,13 +158,8 @@
     recordForCoordinator(report.keys, report.work);
     return;
   }
-  for (const auto& [service, keys] : report.keys) {
-    pendingReport_.keys[service].merge(keys);
-  }
-  for (const auto& [server, sample] : report.work) {
-    pendingReport_.work[server].count += sample.count;
-    pendingReport_.work[server].total += sample.total;
-  }
+  pendingReport_.addKeys(report.keys);
+  pendingReport_.addWork(report.work);
 }
 
 void EntryControl::recordHotKeys(const dispatch::KeyReports& keys)
@@ -178,9 +168,7 @@
     recordForCoordinator(keys, {});
     return;
   }
-  for (const auto& [service, report] : keys) {
-    pendingReport_.keys[service].merge(report);
-  }
+  pendingReport_.addKeys(keys);
   reportIfDue(clockNow());
 }
 
@@ -199,9 +187,7 @@
 
 void EntryControl::onConnectionBreak(const ConnectionBreak& connectionBreak)
 {
-  if (pendingConnectionBreaks_.size() < kMaxPendingConnectionBreaks) {
-    pendingConnectionBreaks_.push_back(connectionBreak);
-  }
+  pendingReport_.addConnectionBreak(connectionBreak);
 }
 
 void EntryControl::onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers)
@@ -594,8 +580,7 @@
                         leaving_ || isHandingOver() };
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
-  message.connectionBreaks = std::move(pendingConnectionBreaks_);
-  pendingConnectionBreaks_.clear();
+  message.connectionBreaks = pendingReport_.takeConnectionBreaks();
   message.leavingServers = leavingServers_.registered();
   message.limitedServers = limitSharing_.nextPage();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
@@ -629,14 +614,11 @@
 
 void EntryControl::reportIfDue(base::TimePoint now)
 {
-  const bool isDue =
-    now >= nextReportAt_ || (now >= nextHotReportAt_ && dispatch::hasHotSpan(pendingReport_.keys));
-  if (coordinatorRole_.active() || !isDue) {
+  if (coordinatorRole_.active() || !pendingReport_.isDue(now)) {
     return;
   }
   sendReport();
-  nextReportAt_ = now + kReportInterval;
-  nextHotReportAt_ = now + kHotReportInterval;
+  pendingReport_.scheduleNext(now);
 }
 
 void EntryControl::sendReport()
@@ -649,16 +631,12 @@
   message.domain = settings_.domain;
   message.run = self_.run;
   message.capacity = settings_.capacity;
-  message.keys = std::move(pendingReport_.keys);
-  message.work = std::move(pendingReport_.work);
-  message.connectionBreaks = std::move(pendingConnectionBreaks_);
+  pendingReport_.moveTo(message);
   message.leaving = leaving_;
   message.leavingServers = leavingServers_.registered();
   if (requiresKeys()) {
     message.sentAt = sentReports_.onSend(clockNow());
   }
-  pendingReport_ = {};
-  pendingConnectionBreaks_.clear();
   const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
   peerLink_.send({ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) },
                  message);
