Move the three object mirrors out of EntryControl

Cause: each use of the mirrors was a loop in EntryControl, and their order was known in three places. Change: ObjectMirrors holds them with their settings, in the order in which heartbeats list their revisions. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -6,7 +6,7 @@
 #include <entry/Dispatcher.h>
 #include <entry/LimitSharing.h>
 #include <entry/LoadSharing.h>
-#include <entry/ObjectMirror.h>
+#include <entry/ObjectMirrors.h>
 #include <entry/OwnershipMirror.h>
 #include <entry/PeerLink.h>
 #include <entry/PendingReport.h>
@@ -23,7 +23,6 @@
 #include <dispatch/PeerTable.h>
 #include <dispatch/RoutingView.h>
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -89,7 +88,6 @@
   // Sends a message to all other entry VMs.
   void sendToAll(const PeerMessage& message);
   void relay(const ObjectChange& change);
-  void onObjectChange(const ObjectChange& change);
   void onOwnershipChanged();
   void onRecordConfirmed(const dispatch::OwnershipRecord& record,
                          const dispatch::OwnershipDelta& delta);
@@ -133,11 +131,7 @@
   QuotaSharing quotaSharing_;
   CoordinatorRole coordinatorRole_;
   dispatch::CoordinatorElection election_;
-  ObjectMirror configurationMirror_;
-  ObjectMirror serversMirror_;
-  ObjectMirror domainsOutMirror_;
-  // All mirrors, in the order in which heartbeats list their revisions.
-  std::array<ObjectMirror*, 3> mirrors_;
+  ObjectMirrors mirrors_;
   OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
   dispatch::RoutingView view_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -13,10 +13,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-// Delays between a change and the next watch, in which further changes accumulate. While many
-// servers start or stop, their objects change one by one in quick succession.
-constexpr std::chrono::milliseconds kConfigurationSettleDelay{ 150 };
-constexpr std::chrono::milliseconds kServersSettleDelay{ 300 };
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
 // Number of ranges whose change fits into the payload of an Ethernet frame.
@@ -82,40 +78,14 @@
         ownership_.adopt(record, revision);
       })
   , election_({}, clockNow())
-  , configurationMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::Configuration,
-        CatchUp::CurrentState,
-        MirrorSettings().watchDuration,
-        kConfigurationSettleDelay,
-        run + 1 },
-      [this](const auto& objects) { onConfiguration(objects); },
-      [this](const auto& change) { relay(change); })
-  , serversMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::Servers,
-        CatchUp::History,
-        MirrorSettings().watchDuration,
-        kServersSettleDelay,
-        run + 2 },
-      [this](const auto& objects) { onServers(objects); },
-      [this](const auto& change) { relay(change); })
-  , domainsOutMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::DomainsOut,
-        CatchUp::CurrentState,
-        MirrorSettings().watchDuration,
-        kConfigurationSettleDelay,
-        run + 3 },
-      [this](const auto& objects) { onDomainsOut(objects); },
-      [this](const auto& change) { relay(change); })
-  , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
+  , mirrors_(context,
+             store_,
+             log,
+             run,
+             { [this](const auto& objects) { onConfiguration(objects); },
+               [this](const auto& objects) { onServers(objects); },
+               [this](const auto& objects) { onDomainsOut(objects); },
+               [this](const auto& change) { relay(change); } })
   , ownership_(store_, log, [this] { onOwnershipChanged(); })
   , tickTimer_(context)
   , serverEntries_(log)
@@ -137,9 +107,7 @@
 
 void EntryControl::start()
 {
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->start();
-  }
+  mirrors_.start();
   vmRegistry_.start();
   tick();
 }
@@ -368,7 +336,7 @@
       ownership_.onDelta(change->delta, clockNow());
     }
   } else if (const auto* relayed = std::get_if<ObjectChangeMessage>(&message)) {
-    onObjectChange(relayed->change);
+    mirrors_.onChangePart(relayed->change);
   } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
     onForward(*forward);
   } else if (const auto* use = std::get_if<ServerUseMessage>(&message)) {
@@ -445,27 +413,10 @@
     message.configurationEcho ? sentReports_.currentAt(*message.configurationEcho) : std::nullopt;
   if (configurationCurrentAt && !message.lastChangeRevisions.empty()) {
     // A stamp of another process would put it into the future.
-    configurationMirror_.onRelayShownCurrent(message.lastChangeRevisions.front(),
-                                             std::min(*configurationCurrentAt, clockNow()));
-  }
-  if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
-    for (std::size_t i = 0; i < mirrors_.size(); ++i) {
-      mirrors_[i]->onRelayAnnouncement(message.lastChangeRevisions[i], clockNow());
-    }
-    return;
-  }
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->onCoordinatorHeard(clockNow());
-  }
-}
-
-void EntryControl::onObjectChange(const ObjectChange& change)
-{
-  for (ObjectMirror* mirror : mirrors_) {
-    if (mirror->kind() == change.kind) {
-      mirror->onChangePart(change);
-    }
+    mirrors_.onConfigurationShownCurrent(message.lastChangeRevisions.front(),
+                                         std::min(*configurationCurrentAt, clockNow()));
   }
+  mirrors_.onCoordinatorHeard(message.isRelay, message.lastChangeRevisions, clockNow());
 }
 
 // Passes a change on to the other VMs of this domain, and applies it if this VM is among the
@@ -517,9 +468,7 @@
              election_.shouldTryTakeover(successionRank_, store_.reachable(), now)) {
     coordinatorRole_.tryTakeover(view_.ownership ? view_.ownership->epoch : 0);
   }
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->tick(coordinatorRole_.active(), isStandby(), now);
-  }
+  mirrors_.tick(coordinatorRole_.active(), isStandby(), now);
   if (coordinatorRole_.active() && now >= nextHeartbeatAt_) {
     sendHeartbeats(now);
     nextHeartbeatAt_ = now + kHeartbeatInterval;
@@ -564,7 +513,7 @@
     message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
     nameLoadAggregators(message, loadAggregators, peer.domain, peer.address);
     if (requiresKeys()) {
-      message.configurationEcho = reportStamps_.echoFor(vm, configurationMirror_.currentAt());
+      message.configurationEcho = reportStamps_.echoFor(vm, mirrors_.configurationCurrentAt());
     }
     peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
   }
@@ -583,11 +532,8 @@
   message.connectionBreaks = pendingReport_.takeConnectionBreaks();
   message.leavingServers = leavingServers_.registered();
   message.limitedServers = limitSharing_.nextPage();
-  message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
-  for (const ObjectMirror* mirror : mirrors_) {
-    message.isRelay = message.isRelay && mirror->mayRelay(now);
-    message.lastChangeRevisions.push_back(mirror->lastChangeRevision());
-  }
+  message.isRelay = coordinatorRole_.hasRecentStoreContact(now) && mirrors_.mayRelay(now);
+  message.lastChangeRevisions = mirrors_.lastChangeRevisions();
   return message;
 }
 
@@ -646,7 +592,7 @@
 {
   ControlStatus status;
   status.isCoordinator = coordinatorRole_.active();
-  status.watchesStore = std::ranges::all_of(mirrors_, &ObjectMirror::isWatching);
+  status.watchesStore = mirrors_.areWatching();
   status.storeReachable = store_.reachable();
   status.calls = store_.calls();
   status.bytes = bytes_;
@@ -655,12 +601,8 @@
   status.quotas = quotaSharing_.counts();
   status.malformedTokens = coordinatorRole_.malformedTokens();
   status.orderAnswers = calls_.answers();
-  for (std::size_t i = 0; i < mirrors_.size(); ++i) {
-    status.secondsBehind.at(i) =
-      std::chrono::duration<double>(mirrors_[i]->timeBehind(clockNow())).count();
-    status.secondsSinceCurrent.at(i) =
-      std::chrono::duration<double>(mirrors_[i]->age(clockNow())).count();
-  }
+  status.secondsBehind = mirrors_.secondsBehind(clockNow());
+  status.secondsSinceCurrent = mirrors_.secondsSinceCurrent(clockNow());
   if (coordinatorRole_.active()) {
     status.ranges = coordinatorRole_.coordinator()->managedRanges();
     status.rangesUnowned = coordinatorRole_.coordinator()->unownedRanges();
@@ -723,7 +665,7 @@
 
 void EntryControl::updateFreshness()
 {
-  const base::TimePoint currentAt = configurationMirror_.currentAt();
+  const base::TimePoint currentAt = mirrors_.configurationCurrentAt();
   if (requiresKeys() && isConfigurationInForce_ && currentAt > view_.configurationCurrentAt) {
     view_.configurationCurrentAt = currentAt;
     publish();
