Move the sending of changes to all VMs out of EntryControl

Cause: splitting changes into messages and planning their fanout has nothing to do with the rest of EntryControl. Change: ChangeRelay sends changes of objects and of the ownership record. EntryControl still decides that only the coordinator relays. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <entry/ByteCounts.h>
+#include <entry/ChangeRelay.h>
 #include <entry/ControlStatus.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
@@ -85,9 +86,7 @@
   void onDomainsOut(const ObjectMirror::Objects& objects);
   // The store has come back from a copy. What the VM has seen of ends of servers stays known.
   void onStoreRestored(std::uint64_t era);
-  // Sends a message to all other entry VMs.
-  void sendToAll(const PeerMessage& message);
-  void relay(const ObjectChange& change);
+  void onChangeRead(const ObjectChange& change);
   void onOwnershipChanged();
   void onRecordConfirmed(const dispatch::OwnershipRecord& record,
                          const dispatch::OwnershipDelta& delta);
@@ -126,6 +125,8 @@
   CallClient calls_;
   StoreClient store_;
   PeerLink peerLink_;
+  dispatch::PeerTable peerTable_;
+  ChangeRelay changeRelay_;
   LoadSharing loadSharing_;
   LimitSharing limitSharing_;
   QuotaSharing quotaSharing_;
@@ -138,7 +139,6 @@
   ServerEntries serverEntries_;
   dispatch::LeavingServers leavingServers_;
   dispatch::FormerServers formerServers_;
-  dispatch::PeerTable peerTable_;
   dispatch::ReportStamps reportStamps_;
   dispatch::SentReports sentReports_;
   // Whether the configuration in force is the copy's.
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 // Interval between two heartbeats of the coordinator.
 constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
-// Number of ranges whose change fits into the payload of an Ethernet frame.
-constexpr std::size_t kRangesPerMessage = 25;
 // Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
 // which on others are.
 constexpr unsigned kWatchfulSuccessors = 8;
@@ -60,6 +58,8 @@
       { settings.ip, settings.peerPort },
       bytes_,
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
+  , peerTable_({})
+  , changeRelay_(peerLink_, peerTable_, log, settings.domain)
   , loadSharing_(peerLink_, settings.ip, settings.domain, std::move(sharedLoadListener))
   , limitSharing_(peerLink_, log, std::move(permitListener))
   , quotaSharing_(peerLink_, settings.quota, run, std::move(loanListener))
@@ -85,11 +85,10 @@
              { [this](const auto& objects) { onConfiguration(objects); },
                [this](const auto& objects) { onServers(objects); },
                [this](const auto& objects) { onDomainsOut(objects); },
-               [this](const auto& change) { relay(change); } })
+               [this](const auto& change) { onChangeRead(change); } })
   , ownership_(store_, log, [this] { onOwnershipChanged(); })
   , tickTimer_(context)
   , serverEntries_(log)
-  , peerTable_({})
   , vmRegistry_(
       context,
       store_,
@@ -250,37 +249,14 @@
   }
 }
 
-// Sends a change to the other entry VMs if this VM is the coordinator, which watches the store for
-// all.
-void EntryControl::relay(const ObjectChange& change)
+// The coordinator watches the store for all VMs.
+void EntryControl::onChangeRead(const ObjectChange& change)
 {
-  if (!coordinatorRole_.active()) {
-    return;
-  }
-  ObjectChange essential = change;
-  if (change.kind == wire::Kind::Servers) {
-    for (wire::WatchEvent& event : essential.events) {
-      event.object = wire::essentialServerEntry(event.object);
-    }
-  }
-  const std::vector<ObjectChange> parts = splitChange(essential);
-  if (parts.empty() && !change.events.empty()) {
-    log_.write("change_not_relayed",
-               { { "kind", static_cast<int>(change.kind) },
-                 { "revision", change.part.revision },
-                 { "objects", change.events.size() } });
-  }
-  for (const ObjectChange& part : parts) {
-    sendToAll(ObjectChangeMessage{ part });
+  if (coordinatorRole_.active()) {
+    changeRelay_.send(change);
   }
 }
 
-void EntryControl::sendToAll(const PeerMessage& message)
-{
-  peerLink_.send(dispatch::planFanout(peerTable_.receivers(), settings_.domain, {}, clockNow()),
-                 message);
-}
-
 void EntryControl::onStoreRestored(std::uint64_t era)
 {
   const base::TimePoint now = clockNow();
@@ -320,9 +296,7 @@
                                      const dispatch::OwnershipDelta& delta)
 {
   ownership_.adopt(record, delta.revision);
-  for (const dispatch::OwnershipDelta& part : dispatch::splitDelta(delta, kRangesPerMessage)) {
-    sendToAll(OwnershipDeltaMessage{ part });
-  }
+  changeRelay_.send(delta);
 }
 
 void EntryControl::onPeerMessage(const PeerMessage& message, const std::string& from)
