Move the routing view out of EntryControl

Cause: EntryControl decoded what the view holds, changed it in eight places and had to publish it in each. Change: RoutingViewPublisher keeps the view and publishes it after each change. What quotas and limits need of a new configuration or of new servers is now passed on just after the publication in place of just before; the publication is a task for the traffic thread, which doesn't see these. No other change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -12,17 +12,14 @@
 #include <entry/PeerLink.h>
 #include <entry/PendingReport.h>
 #include <entry/QuotaSharing.h>
-#include <entry/ServerEntries.h>
+#include <entry/RoutingViewPublisher.h>
 #include <entry/SteadyTime.h>
 #include <entry/VmRegistry.h>
 
 #include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
-#include <dispatch/FormerServers.h>
-#include <dispatch/LeavingServers.h>
 #include <dispatch/PeerTable.h>
-#include <dispatch/RoutingView.h>
 
 #include <functional>
 #include <map>
@@ -38,7 +35,6 @@
 class EntryControl
 {
 public:
-  using Publish = std::function<void(std::shared_ptr<const dispatch::RoutingView>)>;
   using RemoteBreakListener = std::function<void(const ConnectionBreak&)>;
 
   // `run` is a random number that identifies this run of the process.
@@ -46,7 +42,7 @@
                const dispatch::EntrySettings& settings,
                EventLog& log,
                std::uint64_t run,
-               Publish publish,
+               RoutingViewPublisher::Publish publish,
                RemoteBreakListener remoteBreakListener,
                LoadSharing::SummaryListener sharedLoadListener,
                LimitSharing::GrantListener permitListener,
@@ -60,7 +56,10 @@
   void recordHotKeys(const dispatch::KeyReports& keys);
   void onConnectionBreak(const ConnectionBreak& connectionBreak);
   // Servers have said in answers to this VM or another one that they leave.
-  void onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers);
+  void onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers)
+  {
+    viewPublisher_.onServersLeaving(servers);
+  }
 
   // An answer to this VM named this limit, or none where there was one.
   void onServerLimit(const dispatch::ServerIncarnation& server,
@@ -81,9 +80,9 @@
 
 private:
   void onVmRegistered(const base::VmId& vm, const dispatch::EntryVmRecord& record);
+  void onVmsListed();
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
-  void onDomainsOut(const ObjectMirror::Objects& objects);
   // The store has come back from a copy. What the VM has seen of ends of servers stays known.
   void onStoreRestored(std::uint64_t era);
   void onChangeRead(const ObjectChange& change);
@@ -105,20 +104,14 @@
   void updateCoordinator();
   void updateLimits(base::TimePoint now);
   void updateQuotas(base::TimePoint now);
-  // Returns whether requests need keys, whose validity depends on how current the copy of the
-  // configuration is.
-  bool requiresKeys() const;
-  // Publishes up to which time the configuration in force holds all changes.
-  void updateFreshness();
   void reportIfDue(base::TimePoint now);
   void recordForCoordinator(const dispatch::KeyReports& keys,
                             const std::map<base::ServerId, dispatch::WorkSample>& work);
-  void publish();
-  void setEntryVms(std::size_t count);
+  const dispatch::RoutingView& view() const { return viewPublisher_.view(); }
 
   dispatch::EntrySettings settings_;
   EventLog& log_;
-  Publish publish_;
+  RoutingViewPublisher viewPublisher_;
   RemoteBreakListener remoteBreakListener_;
   dispatch::Coordinator self_;
   ByteCounts bytes_;
@@ -135,14 +128,8 @@
   ObjectMirrors mirrors_;
   OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
-  dispatch::RoutingView view_;
-  ServerEntries serverEntries_;
-  dispatch::LeavingServers leavingServers_;
-  dispatch::FormerServers formerServers_;
   dispatch::ReportStamps reportStamps_;
   dispatch::SentReports sentReports_;
-  // Whether the configuration in force is the copy's.
-  bool isConfigurationInForce_ = false;
   VmRegistry vmRegistry_;
   // Measurements for the next report to the coordinator.
   PendingReport pendingReport_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -1,11 +1,8 @@
 #include <entry/EntryControl.h>
 
-#include <entry/ConfigurationLog.h>
 #include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
-#include <wire/WireError.h>
-
 #include <algorithm>
 
 namespace sycamore::entry {
@@ -41,14 +38,14 @@
                            const dispatch::EntrySettings& settings,
                            EventLog& log,
                            std::uint64_t run,
-                           Publish publish,
+                           RoutingViewPublisher::Publish publish,
                            RemoteBreakListener remoteBreakListener,
                            LoadSharing::SummaryListener sharedLoadListener,
                            LimitSharing::GrantListener permitListener,
                            QuotaSharing::LoanListener loanListener)
   : settings_(settings)
   , log_(log)
-  , publish_(std::move(publish))
+  , viewPublisher_(log, std::move(publish))
   , remoteBreakListener_(std::move(remoteBreakListener))
   , self_{ settings.vm, run, settings.ip }
   , calls_(context, BufferQuota(settings.memoryBytes / kControlMemoryShare))
@@ -84,11 +81,10 @@
              run,
              { [this](const auto& objects) { onConfiguration(objects); },
                [this](const auto& objects) { onServers(objects); },
-               [this](const auto& objects) { onDomainsOut(objects); },
+               [this](const auto& objects) { viewPublisher_.setDomainsOut(objects); },
                [this](const auto& change) { onChangeRead(change); } })
   , ownership_(store_, log, [this] { onOwnershipChanged(); })
   , tickTimer_(context)
-  , serverEntries_(log)
   , vmRegistry_(
       context,
       store_,
@@ -99,7 +95,7 @@
       // many share the limits, until the coordinator tells them.
       [this] { return coordinatorRole_.active(); },
       [this](const auto& vm, const auto& record) { onVmRegistered(vm, record); },
-      [this] { setEntryVms(std::max(view_.entryVms, peerTable_.vmsSharingLimits(clockNow()))); })
+      [this] { onVmsListed(); })
 {
   store_.setRestoredListener([this](std::uint64_t era) { onStoreRestored(era); });
 }
@@ -118,6 +114,12 @@
   }
 }
 
+void EntryControl::onVmsListed()
+{
+  viewPublisher_.setEntryVms(std::max(view().entryVms, peerTable_.vmsSharingLimits(clockNow())),
+                             coordinatorRole_.active());
+}
+
 void EntryControl::recordTraffic(TrafficReport report)
 {
   loadSharing_.report({ std::move(report.use), std::move(report.demand) });
@@ -157,21 +159,6 @@
   pendingReport_.addConnectionBreak(connectionBreak);
 }
 
-void EntryControl::onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers)
-{
-  bool isNews = false;
-  for (const dispatch::ServerIncarnation& server : servers) {
-    isNews = leavingServers_.add(server) || isNews;
-  }
-  if (!isNews || !view_.servers) {
-    return;
-  }
-  auto marked = std::make_shared<std::map<base::ServerId, dispatch::BackendServer>>(*view_.servers);
-  leavingServers_.apply(*marked);
-  view_.servers = std::move(marked);
-  publish();
-}
-
 void EntryControl::onServerLimit(const dispatch::ServerIncarnation& server,
                                  std::optional<dispatch::RequestLimit> limit)
 {
@@ -196,57 +183,15 @@
 
 void EntryControl::onConfiguration(const ObjectMirror::Objects& objects)
 {
-  const auto found = objects.find(wire::kConfigurationName);
-  if (found == objects.end()) {
-    return;
-  }
-  isConfigurationInForce_ = false;
-  try {
-    auto configuration = wire::decodeConfiguration(found->second);
-    if (view_.configuration && configuration->version < view_.configuration->version) {
-      log_.write(
-        "configuration_older",
-        { { "version", configuration->version }, { "in_force", view_.configuration->version } });
-      return;
-    }
-    logConfiguration(log_, *configuration, found->second.revision);
-    isConfigurationInForce_ = true;
-    view_.configuration = std::move(configuration);
-    quotaSharing_.setConfiguration(view_.configuration);
-    publish();
-  } catch (const wire::WireError& error) {
-    log_.write("configuration_unreadable", { { "error", error.what() } });
+  if (viewPublisher_.setConfiguration(objects)) {
+    quotaSharing_.setConfiguration(view().configuration);
   }
 }
 
 void EntryControl::onServers(const ObjectMirror::Objects& objects)
 {
-  const base::TimePoint now = clockNow();
-  auto servers = serverEntries_.decode(objects, view_.servers.get(), now);
-  if (view_.servers) {
-    formerServers_.onServersChanged(*view_.servers, *servers, now);
-  }
-  leavingServers_.apply(*servers);
-  limitSharing_.retain(*servers);
-  view_.servers = std::move(servers);
-  publish();
-}
-
-void EntryControl::onDomainsOut(const ObjectMirror::Objects& objects)
-{
-  std::set<base::DomainId> out;
-  for (const auto& [name, object] : objects) {
-    out.insert(base::DomainId(name));
-  }
-  if (out != view_.domainsOut) {
-    nlohmann::json names = nlohmann::json::array();
-    for (const base::DomainId& domain : out) {
-      names.push_back(domain.value());
-    }
-    log_.write("domains_out", { { "domains", names } });
-    view_.domainsOut = std::move(out);
-    publish();
-  }
+  viewPublisher_.setServers(objects, clockNow());
+  limitSharing_.retain(*view().servers);
 }
 
 // The coordinator watches the store for all VMs.
@@ -259,35 +204,20 @@
 
 void EntryControl::onStoreRestored(std::uint64_t era)
 {
-  const base::TimePoint now = clockNow();
   log_.write("store_restored", { { "era", era } });
-  std::vector<dispatch::ServerIncarnation> ended;
-  if (view_.servers) {
-    for (const dispatch::BackendServer& server : formerServers_.servers(now)) {
-      const auto registered = view_.servers->find(server.id);
-      if (registered == view_.servers->end() || registered->second.born != server.born) {
-        ended.push_back({ server.id, server.born });
-      }
-    }
-    for (const auto& [id, server] : *view_.servers) {
-      if (server.draining) {
-        ended.push_back({ id, server.born });
-      }
-    }
-  }
-  onServersLeaving(ended);
+  viewPublisher_.onServersLeaving(viewPublisher_.endedServers(clockNow()));
   coordinatorRole_.onStoreRestored();
   vmRegistry_.start();
 }
 
 void EntryControl::onOwnershipChanged()
 {
-  view_.ownership = ownership_.record();
-  election_.onRecordRead(*view_.ownership, clockNow());
-  if (coordinatorRole_.active() && view_.ownership->coordinator != self_) {
+  const std::shared_ptr<const dispatch::OwnershipRecord>& record = ownership_.record();
+  election_.onRecordRead(*record, clockNow());
+  if (coordinatorRole_.active() && record->coordinator != self_) {
     coordinatorRole_.resign("the ownership record names another entry VM as coordinator");
   }
-  publish();
+  viewPublisher_.setOwnership(record);
 }
 
 // The store has confirmed a record of this VM as coordinator. The other entry VMs receive the
@@ -343,7 +273,7 @@
 
 void EntryControl::onHeartbeat(const HeartbeatMessage& message, const std::string& from)
 {
-  const std::uint64_t known = view_.ownership ? view_.ownership->epoch : 0;
+  const std::uint64_t known = view().ownership ? view().ownership->epoch : 0;
   if (message.heartbeat.epoch < known || message.heartbeat.coordinator == self_) {
     return;
   }
@@ -378,10 +308,10 @@
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
   }
-  onServersLeaving(message.leavingServers);
+  viewPublisher_.onServersLeaving(message.leavingServers);
   limitSharing_.onPage(message.limitedServers, clockNow());
   peerTable_.onSharersAnnounced(message.entryVms, clockNow());
-  setEntryVms(message.entryVms);
+  viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
   const auto configurationCurrentAt =
     message.configurationEcho ? sentReports_.currentAt(*message.configurationEcho) : std::nullopt;
@@ -417,7 +347,7 @@
     reportStamps_.onReport(message.vm, message.sentAt, now);
   }
   recordForCoordinator(message.keys, message.work);
-  onServersLeaving(message.leavingServers);
+  viewPublisher_.onServersLeaving(message.leavingServers);
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
     onConnectionBreak(connectionBreak);
@@ -438,9 +368,9 @@
   if (coordinatorRole_.active()) {
     updateCoordinator();
     coordinatorRole_.tick(now);
-  } else if (!leaving_ && view_.servers && view_.configuration &&
+  } else if (!leaving_ && view().servers && view().configuration &&
              election_.shouldTryTakeover(successionRank_, store_.reachable(), now)) {
-    coordinatorRole_.tryTakeover(view_.ownership ? view_.ownership->epoch : 0);
+    coordinatorRole_.tryTakeover(view().ownership ? view().ownership->epoch : 0);
   }
   mirrors_.tick(coordinatorRole_.active(), isStandby(), now);
   if (coordinatorRole_.active() && now >= nextHeartbeatAt_) {
@@ -449,18 +379,18 @@
   }
   updateLimits(now);
   updateQuotas(now);
-  updateFreshness();
+  viewPublisher_.onConfigurationCurrent(mirrors_.configurationCurrentAt());
   if (!coordinatorRole_.active()) {
     ownership_.tick(now);
   }
   reportIfDue(now);
-  loadSharing_.tick(view_, now);
+  loadSharing_.tick(view(), now);
 }
 
 // In a large deployment, the first successors notice for all that the store isn't watched.
 bool EntryControl::isStandby() const
 {
-  return view_.entryVms > kMinVmsWithStandby && successionRank_ >= kWatchfulSuccessors;
+  return view().entryVms > kMinVmsWithStandby && successionRank_ >= kWatchfulSuccessors;
 }
 
 void EntryControl::sendHeartbeats(base::TimePoint now)
@@ -473,7 +403,7 @@
   const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
   beginHandoverIfWorthwhile(order, now);
   HeartbeatMessage message = heartbeat(now);
-  setEntryVms(message.entryVms);
+  viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
   // Unresponsive VMs get the last rank, since they may respond again.
   std::map<base::VmId, unsigned> ranks;
   for (const dispatch::Candidate& candidate : order) {
@@ -486,7 +416,7 @@
     const auto rank = ranks.find(vm);
     message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
     nameLoadAggregators(message, loadAggregators, peer.domain, peer.address);
-    if (requiresKeys()) {
+    if (viewPublisher_.requiresKeys()) {
       message.configurationEcho = reportStamps_.echoFor(vm, mirrors_.configurationCurrentAt());
     }
     peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
@@ -504,7 +434,7 @@
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
   message.connectionBreaks = pendingReport_.takeConnectionBreaks();
-  message.leavingServers = leavingServers_.registered();
+  message.leavingServers = viewPublisher_.leavingServers();
   message.limitedServers = limitSharing_.nextPage();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now) && mirrors_.mayRelay(now);
   message.lastChangeRevisions = mirrors_.lastChangeRevisions();
@@ -543,7 +473,7 @@
 
 void EntryControl::sendReport()
 {
-  if (!view_.ownership) {
+  if (!view().ownership) {
     return;
   }
   ReportMessage message;
@@ -553,11 +483,11 @@
   message.capacity = settings_.capacity;
   pendingReport_.moveTo(message);
   message.leaving = leaving_;
-  message.leavingServers = leavingServers_.registered();
-  if (requiresKeys()) {
+  message.leavingServers = viewPublisher_.leavingServers();
+  if (viewPublisher_.requiresKeys()) {
     message.sentAt = sentReports_.onSend(clockNow());
   }
-  const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
+  const dispatch::Coordinator& coordinator = view().ownership->coordinator;
   peerLink_.send({ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) },
                  message);
 }
@@ -571,7 +501,7 @@
   status.calls = store_.calls();
   status.bytes = bytes_;
   status.ownershipRevision = ownership_.revision();
-  status.entryVms = view_.entryVms;
+  status.entryVms = view().entryVms;
   status.quotas = quotaSharing_.counts();
   status.malformedTokens = coordinatorRole_.malformedTokens();
   status.orderAnswers = calls_.answers();
@@ -590,19 +520,19 @@
 
 void EntryControl::updateCoordinator()
 {
-  if (view_.servers && view_.configuration) {
-    coordinatorRole_.coordinator()->setServices(view_.configuration->services);
-    coordinatorRole_.coordinator()->setServers(*view_.servers, clockNow());
-    coordinatorRole_.coordinator()->addFormerServers(formerServers_.servers(clockNow()));
-    coordinatorRole_.coordinator()->setDomainsOut(view_.domainsOut);
-    coordinatorRole_.coordinator()->planner().setLimits(view_.limitedServers);
+  if (view().servers && view().configuration) {
+    coordinatorRole_.coordinator()->setServices(view().configuration->services);
+    coordinatorRole_.coordinator()->setServers(*view().servers, clockNow());
+    coordinatorRole_.coordinator()->addFormerServers(viewPublisher_.formerServers(clockNow()));
+    coordinatorRole_.coordinator()->setDomainsOut(view().domainsOut);
+    coordinatorRole_.coordinator()->planner().setLimits(view().limitedServers);
   }
 }
 
 void EntryControl::updateLimits(base::TimePoint now)
 {
-  if (view_.ownership) {
-    const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
+  if (view().ownership) {
+    const dispatch::Coordinator& coordinator = view().ownership->coordinator;
     limitSharing_.setCoordinator(
       PeerAddress{ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
   }
@@ -611,17 +541,16 @@
                             coordinatorRole_.hasRecentStoreContact(now);
   limitSharing_.setRole(coordinatorRole_.active(), isSoleIssuer, now);
   if (limitSharing_.takeChange()) {
-    view_.limitedServers = limitSharing_.list();
-    publish();
+    viewPublisher_.setLimitedServers(limitSharing_.list());
   }
 }
 
 void EntryControl::updateQuotas(base::TimePoint now)
 {
-  if (view_.ownership) {
-    const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
+  if (view().ownership) {
+    const dispatch::Coordinator& coordinator = view().ownership->coordinator;
     quotaSharing_.onCoordinatorKnown(
-      view_.ownership->epoch,
+      view().ownership->epoch,
       { coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
   }
   if (coordinatorRole_.active()) {
@@ -632,35 +561,4 @@
   }
 }
 
-bool EntryControl::requiresKeys() const
-{
-  return view_.configuration && view_.configuration->workspaces;
-}
-
-void EntryControl::updateFreshness()
-{
-  const base::TimePoint currentAt = mirrors_.configurationCurrentAt();
-  if (requiresKeys() && isConfigurationInForce_ && currentAt > view_.configurationCurrentAt) {
-    view_.configurationCurrentAt = currentAt;
-    publish();
-  }
-}
-
-void EntryControl::publish()
-{
-  publish_(std::make_shared<dispatch::RoutingView>(view_));
-}
-
-void EntryControl::setEntryVms(std::size_t count)
-{
-  if (view_.entryVms != count && count > 0) {
-    log_.write("entry_vms",
-               { { "from", view_.entryVms },
-                 { "to", count },
-                 { "counted_here", coordinatorRole_.active() } });
-    view_.entryVms = count;
-    publish();
-  }
-}
-
 } // namespace sycamore::entry
