Move heartbeats' receivers and the handover out of EntryControl

Cause: sendHeartbeats() decided about a handover, built the message and completed it for each receiver. Change: HeartbeatSender keeps the schedule and completes the message for each receiver; CoordinatorHandover decides whether a coordinator hands over. EntryControl builds the part that all receivers share, since that needs most of its members. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -3,8 +3,10 @@
 #include <entry/ByteCounts.h>
 #include <entry/ChangeRelay.h>
 #include <entry/ControlStatus.h>
+#include <entry/CoordinatorHandover.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
+#include <entry/HeartbeatSender.h>
 #include <entry/LimitSharing.h>
 #include <entry/LoadSharing.h>
 #include <entry/ObjectMirrors.h>
@@ -97,9 +99,6 @@
   bool isStandby() const;
   void sendHeartbeats(base::TimePoint now);
   HeartbeatMessage heartbeat(base::TimePoint now);
-  bool isHandingOver() const;
-  void beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
-                                 base::TimePoint now);
   void sendReport();
   void updateCoordinator();
   void updateLimits(base::TimePoint now);
@@ -120,6 +119,8 @@
   PeerLink peerLink_;
   dispatch::PeerTable peerTable_;
   ChangeRelay changeRelay_;
+  HeartbeatSender heartbeatSender_;
+  CoordinatorHandover handover_;
   LoadSharing loadSharing_;
   LimitSharing limitSharing_;
   QuotaSharing quotaSharing_;
@@ -128,20 +129,12 @@
   ObjectMirrors mirrors_;
   OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
-  dispatch::ReportStamps reportStamps_;
   dispatch::SentReports sentReports_;
   VmRegistry vmRegistry_;
   // Measurements for the next report to the coordinator.
   PendingReport pendingReport_;
   unsigned successionRank_ = 0;
-  base::TimePoint nextHeartbeatAt_{};
-  // Epoch in which this VM, as coordinator, last listed the peers.
-  std::uint64_t peersListedEpoch_ = 0;
   bool leaving_ = false;
-  // Epoch in which this VM, as coordinator, asked for a handover; 0 if it hasn't. A process asks
-  // only once: with a successor that can't reach the store, the role would be passed on in circles.
-  std::uint64_t handoverEpoch_ = 0;
-  base::TimePoint coordinatorSince_{};
   base::TimePoint lastHeartbeatAt_ = clockNow();
 };
 
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-// Interval between two heartbeats of the coordinator.
-constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
 // Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
 // which on others are.
 constexpr unsigned kWatchfulSuccessors = 8;
@@ -19,8 +17,6 @@
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
 constexpr std::uint64_t kControlMemoryShare = 4;
-// Time allowed for the reports of all VMs to arrive before a handover is considered.
-constexpr base::Duration kHandoverDelay = base::milliseconds(1000);
 // Time for which a previous coordinator may still give out permits: until its last confirmation by
 // the store has become too old.
 constexpr base::Duration kIssuerOverlap = base::milliseconds(1500);
@@ -57,6 +53,8 @@
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
   , peerTable_({})
   , changeRelay_(peerLink_, peerTable_, log, settings.domain)
+  , heartbeatSender_(peerLink_, peerTable_, settings.domain)
+  , handover_(log, settings.capacity)
   , loadSharing_(peerLink_, settings.ip, settings.domain, std::move(sharedLoadListener))
   , limitSharing_(peerLink_, log, std::move(permitListener))
   , quotaSharing_(peerLink_, settings.quota, run, std::move(loanListener))
@@ -178,7 +176,7 @@
 void EntryControl::beginDrain()
 {
   leaving_ = true;
-  nextHeartbeatAt_ = {};
+  heartbeatSender_.expedite();
 }
 
 void EntryControl::onConfiguration(const ObjectMirror::Objects& objects)
@@ -344,7 +342,7 @@
   const base::TimePoint now = clockNow();
   peerTable_.onReport(message.vm, { from, message.domain, message.capacity }, message.leaving, now);
   if (message.sentAt != 0) {
-    reportStamps_.onReport(message.vm, message.sentAt, now);
+    heartbeatSender_.onReport(message.vm, message.sentAt, now);
   }
   recordForCoordinator(message.keys, message.work);
   viewPublisher_.onServersLeaving(message.leavingServers);
@@ -373,9 +371,8 @@
     coordinatorRole_.tryTakeover(view().ownership ? view().ownership->epoch : 0);
   }
   mirrors_.tick(coordinatorRole_.active(), isStandby(), now);
-  if (coordinatorRole_.active() && now >= nextHeartbeatAt_) {
+  if (coordinatorRole_.active() && heartbeatSender_.isDue(now)) {
     sendHeartbeats(now);
-    nextHeartbeatAt_ = now + kHeartbeatInterval;
   }
   updateLimits(now);
   updateQuotas(now);
@@ -395,32 +392,18 @@
 
 void EntryControl::sendHeartbeats(base::TimePoint now)
 {
-  if (peersListedEpoch_ != coordinatorRole_.coordinator()->record().epoch) {
-    peersListedEpoch_ = coordinatorRole_.coordinator()->record().epoch;
-    coordinatorSince_ = now;
+  if (handover_.onEpoch(coordinatorRole_.coordinator()->record().epoch, now)) {
     vmRegistry_.list();
   }
-  const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
-  beginHandoverIfWorthwhile(order, now);
+  const std::vector<dispatch::Candidate> successors = peerTable_.successors(now);
+  handover_.beginIfWorthwhile(successors, now);
   HeartbeatMessage message = heartbeat(now);
   viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
-  // Unresponsive VMs get the last rank, since they may respond again.
-  std::map<base::VmId, unsigned> ranks;
-  for (const dispatch::Candidate& candidate : order) {
-    ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
-  }
-  const std::map<base::DomainId, std::string> loadAggregators = peerTable_.loadAggregators(now);
-  nameLoadAggregators(message, loadAggregators, settings_.domain, settings_.ip);
+  nameLoadAggregators(message, peerTable_.loadAggregators(now), settings_.domain, settings_.ip);
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
-  for (const auto& [vm, peer] : peerTable_.peers()) {
-    const auto rank = ranks.find(vm);
-    message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
-    nameLoadAggregators(message, loadAggregators, peer.domain, peer.address);
-    if (viewPublisher_.requiresKeys()) {
-      message.configurationEcho = reportStamps_.echoFor(vm, mirrors_.configurationCurrentAt());
-    }
-    peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
-  }
+  const base::TimePoint configurationCurrentAt =
+    viewPublisher_.requiresKeys() ? mirrors_.configurationCurrentAt() : base::TimePoint{};
+  heartbeatSender_.send(std::move(message), successors, configurationCurrentAt, now);
 }
 
 // Returns the part of a heartbeat that is the same for all receivers.
@@ -430,7 +413,7 @@
   message.heartbeat = { self_,
                         coordinatorRole_.coordinator()->record().epoch,
                         coordinatorRole_.hasRecentStoreContact(now),
-                        leaving_ || isHandingOver() };
+                        leaving_ || handover_.isHandingOver() };
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
   message.connectionBreaks = pendingReport_.takeConnectionBreaks();
@@ -441,27 +424,6 @@
   return message;
 }
 
-bool EntryControl::isHandingOver() const
-{
-  return handoverEpoch_ != 0 && coordinatorRole_.coordinator()->record().epoch == handoverEpoch_;
-}
-
-// The first coordinator is the VM that was first to write the record, which may have less capacity
-// than another.
-void EntryControl::beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
-                                             base::TimePoint now)
-{
-  if (handoverEpoch_ != 0 || order.empty() || now < coordinatorSince_ + kHandoverDelay ||
-      !dispatch::isWorthHandover(settings_.capacity, order.front())) {
-    return;
-  }
-  handoverEpoch_ = coordinatorRole_.coordinator()->record().epoch;
-  log_.write("coordinator_hands_over",
-             { { "to", order.front().vm.value() },
-               { "capacity", order.front().capacity },
-               { "own_capacity", settings_.capacity } });
-}
-
 void EntryControl::reportIfDue(base::TimePoint now)
 {
   if (coordinatorRole_.active() || !pendingReport_.isDue(now)) {
@@ -537,7 +499,7 @@
       PeerAddress{ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
   }
   const bool isSoleIssuer = coordinatorRole_.active() &&
-                            now >= coordinatorSince_ + kIssuerOverlap &&
+                            now >= handover_.epochBeganAt() + kIssuerOverlap &&
                             coordinatorRole_.hasRecentStoreContact(now);
   limitSharing_.setRole(coordinatorRole_.active(), isSoleIssuer, now);
   if (limitSharing_.takeChange()) {
