Move this VM's place in the succession out of EntryControl

Cause: the election, the rank and the time of the last heartbeat were set together, but kept apart. Change: Succession keeps them, and decides whether the VM is on standby. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -16,9 +16,9 @@
 #include <entry/QuotaSharing.h>
 #include <entry/RoutingViewPublisher.h>
 #include <entry/SteadyTime.h>
+#include <entry/Succession.h>
 #include <entry/VmRegistry.h>
 
-#include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
 #include <dispatch/PeerTable.h>
@@ -96,7 +96,6 @@
   void onForward(const ForwardMessage& message);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
-  bool isStandby() const;
   void sendHeartbeats(base::TimePoint now);
   HeartbeatMessage heartbeat(base::TimePoint now);
   void sendReport();
@@ -125,7 +124,7 @@
   LimitSharing limitSharing_;
   QuotaSharing quotaSharing_;
   CoordinatorRole coordinatorRole_;
-  dispatch::CoordinatorElection election_;
+  Succession succession_;
   ObjectMirrors mirrors_;
   OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
@@ -133,9 +132,7 @@
   VmRegistry vmRegistry_;
   // Measurements for the next report to the coordinator.
   PendingReport pendingReport_;
-  unsigned successionRank_ = 0;
   bool leaving_ = false;
-  base::TimePoint lastHeartbeatAt_ = clockNow();
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-// Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
-// which on others are.
-constexpr unsigned kWatchfulSuccessors = 8;
-constexpr std::size_t kMinVmsWithStandby = 24;
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
 constexpr std::uint64_t kControlMemoryShare = 4;
@@ -72,7 +68,7 @@
       [this](const dispatch::OwnershipRecord& record, std::uint64_t revision) {
         ownership_.adopt(record, revision);
       })
-  , election_({}, clockNow())
+  , succession_(clockNow())
   , mirrors_(context,
              store_,
              log,
@@ -211,7 +207,7 @@
 void EntryControl::onOwnershipChanged()
 {
   const std::shared_ptr<const dispatch::OwnershipRecord>& record = ownership_.record();
-  election_.onRecordRead(*record, clockNow());
+  succession_.onRecordRead(*record, clockNow());
   if (coordinatorRole_.active() && record->coordinator != self_) {
     coordinatorRole_.resign("the ownership record names another entry VM as coordinator");
   }
@@ -293,16 +289,14 @@
       peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain);
     peerLink_.send({ from, isSameDomain }, stopped);
   }
-  lastHeartbeatAt_ = clockNow();
+  succession_.onHeartbeat(message, clockNow());
   quotaSharing_.onCoordinatorKnown(
     message.heartbeat.epoch,
     { from, peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain) });
-  election_.onHeartbeat(message.heartbeat, lastHeartbeatAt_);
   ownership_.onRevisionAnnounced(message.revision, clockNow());
   if (dispatch::eraOf(message.revision) > 0) {
     store_.onEra(dispatch::eraOf(message.revision));
   }
-  successionRank_ = message.rank;
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
   }
@@ -367,10 +361,10 @@
     updateCoordinator();
     coordinatorRole_.tick(now);
   } else if (!leaving_ && view().servers && view().configuration &&
-             election_.shouldTryTakeover(successionRank_, store_.reachable(), now)) {
+             succession_.shouldTryTakeover(store_.reachable(), now)) {
     coordinatorRole_.tryTakeover(view().ownership ? view().ownership->epoch : 0);
   }
-  mirrors_.tick(coordinatorRole_.active(), isStandby(), now);
+  mirrors_.tick(coordinatorRole_.active(), succession_.isStandby(view().entryVms), now);
   if (coordinatorRole_.active() && heartbeatSender_.isDue(now)) {
     sendHeartbeats(now);
   }
@@ -384,12 +378,6 @@
   loadSharing_.tick(view(), now);
 }
 
-// In a large deployment, the first successors notice for all that the store isn't watched.
-bool EntryControl::isStandby() const
-{
-  return view().entryVms > kMinVmsWithStandby && successionRank_ >= kWatchfulSuccessors;
-}
-
 void EntryControl::sendHeartbeats(base::TimePoint now)
 {
   if (handover_.onEpoch(coordinatorRole_.coordinator()->record().epoch, now)) {
@@ -475,7 +463,7 @@
     status.hotSpanSpreads = coordinatorRole_.hotSpanSpreads();
   } else {
     status.secondsSinceHeartbeat =
-      std::chrono::duration<double>(clockNow() - lastHeartbeatAt_).count();
+      std::chrono::duration<double>(succession_.timeSinceHeartbeat(clockNow())).count();
   }
   return status;
 }
