Let the class that gathers a report send it

Cause: EntryControl still built reports and kept their stamps, and worked out the coordinator's address in three places. Change: PendingReport becomes ReportSender, which builds and sends the report and reads the echoes of its stamps; addressOf() is the one place for the address. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -12,8 +12,8 @@
 #include <entry/ObjectMirrors.h>
 #include <entry/OwnershipMirror.h>
 #include <entry/PeerLink.h>
-#include <entry/PendingReport.h>
 #include <entry/QuotaSharing.h>
+#include <entry/ReportSender.h>
 #include <entry/RoutingViewPublisher.h>
 #include <entry/SteadyTime.h>
 #include <entry/Succession.h>
@@ -98,11 +98,11 @@
   void tick();
   void sendHeartbeats(base::TimePoint now);
   HeartbeatMessage heartbeat(base::TimePoint now);
-  void sendReport();
   void updateCoordinator();
   void updateLimits(base::TimePoint now);
   void updateQuotas(base::TimePoint now);
   void reportIfDue(base::TimePoint now);
+  PeerAddress addressOf(const dispatch::Coordinator& coordinator) const;
   void recordForCoordinator(const dispatch::KeyReports& keys,
                             const std::map<base::ServerId, dispatch::WorkSample>& work);
   const dispatch::RoutingView& view() const { return viewPublisher_.view(); }
@@ -120,6 +120,7 @@
   ChangeRelay changeRelay_;
   HeartbeatSender heartbeatSender_;
   CoordinatorHandover handover_;
+  ReportSender reportSender_;
   LoadSharing loadSharing_;
   LimitSharing limitSharing_;
   QuotaSharing quotaSharing_;
@@ -128,10 +129,7 @@
   ObjectMirrors mirrors_;
   OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
-  dispatch::SentReports sentReports_;
   VmRegistry vmRegistry_;
-  // Measurements for the next report to the coordinator.
-  PendingReport pendingReport_;
   bool leaving_ = false;
 };
 
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -51,6 +51,7 @@
   , changeRelay_(peerLink_, peerTable_, log, settings.domain)
   , heartbeatSender_(peerLink_, peerTable_, settings.domain)
   , handover_(log, settings.capacity)
+  , reportSender_(peerLink_, settings, run)
   , loadSharing_(peerLink_, settings.ip, settings.domain, std::move(sharedLoadListener))
   , limitSharing_(peerLink_, log, std::move(permitListener))
   , quotaSharing_(peerLink_, settings.quota, run, std::move(loanListener))
@@ -121,8 +122,8 @@
     recordForCoordinator(report.keys, report.work);
     return;
   }
-  pendingReport_.addKeys(report.keys);
-  pendingReport_.addWork(report.work);
+  reportSender_.addKeys(report.keys);
+  reportSender_.addWork(report.work);
 }
 
 void EntryControl::recordHotKeys(const dispatch::KeyReports& keys)
@@ -131,7 +132,7 @@
     recordForCoordinator(keys, {});
     return;
   }
-  pendingReport_.addKeys(keys);
+  reportSender_.addKeys(keys);
   reportIfDue(clockNow());
 }
 
@@ -150,7 +151,7 @@
 
 void EntryControl::onConnectionBreak(const ConnectionBreak& connectionBreak)
 {
-  pendingReport_.addConnectionBreak(connectionBreak);
+  reportSender_.addConnectionBreak(connectionBreak);
 }
 
 void EntryControl::onServerLimit(const dispatch::ServerIncarnation& server,
@@ -172,6 +173,7 @@
 void EntryControl::beginDrain()
 {
   leaving_ = true;
+  reportSender_.beginDrain();
   heartbeatSender_.expedite();
 }
 
@@ -306,7 +308,7 @@
   viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
   const auto configurationCurrentAt =
-    message.configurationEcho ? sentReports_.currentAt(*message.configurationEcho) : std::nullopt;
+    message.configurationEcho ? reportSender_.currentAt(*message.configurationEcho) : std::nullopt;
   if (configurationCurrentAt && !message.lastChangeRevisions.empty()) {
     // A stamp of another process would put it into the future.
     mirrors_.onConfigurationShownCurrent(message.lastChangeRevisions.front(),
@@ -404,7 +406,7 @@
                         leaving_ || handover_.isHandingOver() };
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
-  message.connectionBreaks = pendingReport_.takeConnectionBreaks();
+  message.connectionBreaks = reportSender_.takeConnectionBreaks();
   message.leavingServers = viewPublisher_.leavingServers();
   message.limitedServers = limitSharing_.nextPage();
   message.isRelay = coordinatorRole_.hasRecentStoreContact(now) && mirrors_.mayRelay(now);
@@ -414,32 +416,20 @@
 
 void EntryControl::reportIfDue(base::TimePoint now)
 {
-  if (coordinatorRole_.active() || !pendingReport_.isDue(now)) {
+  if (coordinatorRole_.active() || !reportSender_.isDue(now)) {
     return;
   }
-  sendReport();
-  pendingReport_.scheduleNext(now);
+  if (view().ownership) {
+    reportSender_.send(addressOf(view().ownership->coordinator),
+                       viewPublisher_.leavingServers(),
+                       viewPublisher_.requiresKeys());
+  }
+  reportSender_.scheduleNext(now);
 }
 
-void EntryControl::sendReport()
+PeerAddress EntryControl::addressOf(const dispatch::Coordinator& coordinator) const
 {
-  if (!view().ownership) {
-    return;
-  }
-  ReportMessage message;
-  message.vm = self_.vm;
-  message.domain = settings_.domain;
-  message.run = self_.run;
-  message.capacity = settings_.capacity;
-  pendingReport_.moveTo(message);
-  message.leaving = leaving_;
-  message.leavingServers = viewPublisher_.leavingServers();
-  if (viewPublisher_.requiresKeys()) {
-    message.sentAt = sentReports_.onSend(clockNow());
-  }
-  const dispatch::Coordinator& coordinator = view().ownership->coordinator;
-  peerLink_.send({ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) },
-                 message);
+  return { coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) };
 }
 
 ControlStatus EntryControl::status() const
@@ -482,9 +472,7 @@
 void EntryControl::updateLimits(base::TimePoint now)
 {
   if (view().ownership) {
-    const dispatch::Coordinator& coordinator = view().ownership->coordinator;
-    limitSharing_.setCoordinator(
-      PeerAddress{ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
+    limitSharing_.setCoordinator(addressOf(view().ownership->coordinator));
   }
   const bool isSoleIssuer = coordinatorRole_.active() &&
                             now >= handover_.epochBeganAt() + kIssuerOverlap &&
@@ -498,10 +486,8 @@
 void EntryControl::updateQuotas(base::TimePoint now)
 {
   if (view().ownership) {
-    const dispatch::Coordinator& coordinator = view().ownership->coordinator;
-    quotaSharing_.onCoordinatorKnown(
-      view().ownership->epoch,
-      { coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
+    quotaSharing_.onCoordinatorKnown(view().ownership->epoch,
+                                     addressOf(view().ownership->coordinator));
   }
   if (coordinatorRole_.active()) {
     quotaSharing_.lend(
