Split the handling of heartbeats in EntryControl into shorter functions

Change: resignTo(), adoptFreshness() and onCoordinatorStopped() are functions of their own. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -93,6 +93,9 @@
                          const dispatch::OwnershipDelta& delta);
   void onPeerMessage(const PeerMessage& message, const std::string& from);
   void onHeartbeat(const HeartbeatMessage& message, const std::string& from);
+  void onCoordinatorStopped(const CoordinatorStoppedMessage& message);
+  void resignTo(const PeerAddress& successor);
+  void adoptFreshness(const HeartbeatMessage& message);
   void onForward(const ForwardMessage& message);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -256,45 +256,40 @@
   } else if (const auto* loans = std::get_if<QuotaLoansMessage>(&message)) {
     quotaSharing_.onMessage(*loans);
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
-    // Only the direct predecessor knows when all coordinators before it stop granting.
-    if (coordinatorRole_.active() &&
-        stopped->epoch + 1 == coordinatorRole_.coordinator()->record().epoch) {
-      const base::TimePoint now = clockNow();
-      coordinatorRole_.coordinator()->onPreviousCoordinatorStopped(
-        { now + stopped->previousCoordinatorsStopIn, now + stopped->unansweredGrantsExpireIn });
-      quotaSharing_.onPredecessorStopped(now + stopped->previousCoordinatorsStopIn);
-    }
+    onCoordinatorStopped(*stopped);
   }
 }
 
+void EntryControl::onCoordinatorStopped(const CoordinatorStoppedMessage& message)
+{
+  // Only the direct predecessor knows when all coordinators before it stop granting.
+  if (!coordinatorRole_.active() ||
+      message.epoch + 1 != coordinatorRole_.coordinator()->record().epoch) {
+    return;
+  }
+  const base::TimePoint now = clockNow();
+  coordinatorRole_.coordinator()->onPreviousCoordinatorStopped(
+    { now + message.previousCoordinatorsStopIn, now + message.unansweredGrantsExpireIn });
+  quotaSharing_.onPredecessorStopped(now + message.previousCoordinatorsStopIn);
+}
+
 void EntryControl::onHeartbeat(const HeartbeatMessage& message, const std::string& from)
 {
   const std::uint64_t known = view().ownership ? view().ownership->epoch : 0;
   if (message.heartbeat.epoch < known || message.heartbeat.coordinator == self_) {
     return;
   }
+  const PeerAddress sender{
+    from, peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain)
+  };
   if (coordinatorRole_.active()) {
-    const std::uint64_t own = coordinatorRole_.coordinator()->record().epoch;
-    if (message.heartbeat.epoch <= own) {
+    if (message.heartbeat.epoch <= coordinatorRole_.coordinator()->record().epoch) {
       return;
     }
-    const base::TimePoint now = clockNow();
-    const dispatch::CoordinatorStop stop = coordinatorRole_.coordinator()->stopReport(now);
-    coordinatorRole_.resign("another entry VM has a higher epoch");
-    quotaSharing_.stopLending();
-    const CoordinatorStoppedMessage stopped{
-      own,
-      std::max(base::Duration::zero(), stop.previousCoordinatorsStopAt - now),
-      std::max(base::Duration::zero(), stop.unansweredGrantsExpireAt - now)
-    };
-    const bool isSameDomain =
-      peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain);
-    peerLink_.send({ from, isSameDomain }, stopped);
+    resignTo(sender);
   }
   succession_.onHeartbeat(message, clockNow());
-  quotaSharing_.onCoordinatorKnown(
-    message.heartbeat.epoch,
-    { from, peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain) });
+  quotaSharing_.onCoordinatorKnown(message.heartbeat.epoch, sender);
   ownership_.onRevisionAnnounced(message.revision, clockNow());
   if (dispatch::eraOf(message.revision) > 0) {
     store_.onEra(dispatch::eraOf(message.revision));
@@ -307,14 +302,36 @@
   peerTable_.onSharersAnnounced(message.entryVms, clockNow());
   viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
-  const auto configurationCurrentAt =
+  adoptFreshness(message);
+  mirrors_.onCoordinatorHeard(message.isRelay, message.lastChangeRevisions, clockNow());
+}
+
+// Stops acting as the coordinator, and tells its successor when it may grant.
+void EntryControl::resignTo(const PeerAddress& successor)
+{
+  const base::TimePoint now = clockNow();
+  const std::uint64_t epoch = coordinatorRole_.coordinator()->record().epoch;
+  const dispatch::CoordinatorStop stop = coordinatorRole_.coordinator()->stopReport(now);
+  coordinatorRole_.resign("another entry VM has a higher epoch");
+  quotaSharing_.stopLending();
+  const CoordinatorStoppedMessage stopped{
+    epoch,
+    std::max(base::Duration::zero(), stop.previousCoordinatorsStopAt - now),
+    std::max(base::Duration::zero(), stop.unansweredGrantsExpireAt - now)
+  };
+  peerLink_.send(successor, stopped);
+}
+
+// Records how current the copy of the configuration is according to the coordinator's heartbeat.
+void EntryControl::adoptFreshness(const HeartbeatMessage& message)
+{
+  const auto currentAt =
     message.configurationEcho ? reportSender_.currentAt(*message.configurationEcho) : std::nullopt;
-  if (configurationCurrentAt && !message.lastChangeRevisions.empty()) {
+  if (currentAt && !message.lastChangeRevisions.empty()) {
     // A stamp of another process would put it into the future.
     mirrors_.onConfigurationShownCurrent(message.lastChangeRevisions.front(),
-                                         std::min(*configurationCurrentAt, clockNow()));
+                                         std::min(*currentAt, clockNow()));
   }
-  mirrors_.onCoordinatorHeard(message.isRelay, message.lastChangeRevisions, clockNow());
 }
 
 // Passes a change on to the other VMs of this domain, and applies it if this VM is among the
