Let PeerLink forward messages

Cause: forwarding is transport, but EntryControl opened the enclosing message. Change: PeerLink passes an enclosed message on and delivers it here if this VM is one of the receivers. No change of behaviour.

--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -96,7 +96,6 @@
   void onCoordinatorStopped(const CoordinatorStoppedMessage& message);
   void resignTo(const PeerAddress& successor);
   void adoptFreshness(const HeartbeatMessage& message);
-  void onForward(const ForwardMessage& message);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
   void sendHeartbeats(base::TimePoint now);
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -237,8 +237,6 @@
     }
   } else if (const auto* relayed = std::get_if<ObjectChangeMessage>(&message)) {
     mirrors_.onChangePart(relayed->change);
-  } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
-    onForward(*forward);
   } else if (const auto* use = std::get_if<ServerUseMessage>(&message)) {
     loadSharing_.onUseMessage(*use, from);
   } else if (const auto* load = std::get_if<LoadSummaryMessage>(&message)) {
@@ -334,19 +332,6 @@
   }
 }
 
-// Passes a change on to the other VMs of this domain, and applies it if this VM is among the
-// receivers, without a datagram to itself.
-void EntryControl::onForward(const ForwardMessage& message)
-{
-  ForwardMessage others{ message.receivers, message.message };
-  const bool isReceiver = std::erase(others.receivers, settings_.ip) > 0;
-  peerLink_.forward(others);
-  const auto enclosed = isReceiver ? decodePeerMessage(message.message) : std::nullopt;
-  if (enclosed && !std::holds_alternative<ForwardMessage>(*enclosed)) {
-    onPeerMessage(*enclosed, "");
-  }
-}
-
 void EntryControl::onReport(const ReportMessage& message, const std::string& from)
 {
   if (!coordinatorRole_.active()) {
--- a/libs/entry/src/PeerLink.cpp
+++ b/libs/entry/src/PeerLink.cpp
@@ -2,6 +2,10 @@
 
 #include <entry/HandlerScope.h>
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 namespace sycamore::entry {
 
 PeerLink::PeerLink(asio::io_context& context,
@@ -9,6 +13,7 @@
                    ByteCounts& bytes,
                    Received received)
   : socket_(context, { asio::ip::make_address(own.ip), own.port })
+  , ownIp_(own.ip)
   , port_(own.port)
   , bytes_(bytes)
   , received_(std::move(received))
@@ -48,10 +53,21 @@
   }
 }
 
+// Passes the enclosed message on to the other receivers, and delivers it here if this VM is one of
+// them, without a datagram to itself.
 void PeerLink::forward(const ForwardMessage& message)
 {
   for (const std::string& ip : message.receivers) {
-    sendBytes({ ip, true }, "forward", message.message);
+    if (ip != ownIp_) {
+      sendBytes({ ip, true }, "forward", message.message);
+    }
+  }
+  if (std::ranges::find(message.receivers, ownIp_) == message.receivers.end()) {
+    return;
+  }
+  auto enclosed = decodePeerMessage(message.message);
+  if (enclosed && !std::holds_alternative<ForwardMessage>(*enclosed)) {
+    received_(std::move(*enclosed), "");
   }
 }
 
@@ -79,9 +95,18 @@
       const std::string from = from_.address().to_string();
       receive();
       if (auto message = decodePeerMessage(bytes)) {
-        received_(std::move(*message), from);
+        onMessage(std::move(*message), from);
       }
     });
 }
 
+void PeerLink::onMessage(PeerMessage message, const std::string& from)
+{
+  if (const auto* forwarded = std::get_if<ForwardMessage>(&message)) {
+    forward(*forwarded);
+  } else {
+    received_(std::move(message), from);
+  }
+}
+
 } // namespace sycamore::entry
