--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -105,8 +105,9 @@
   void updateQuotas(base::TimePoint now);
   void reportIfDue(base::TimePoint now);
   PeerAddress addressOf(const dispatch::Coordinator& coordinator) const;
-  void recordForCoordinator(const dispatch::KeyReports& keys,
-                            const std::map<base::ServerId, dispatch::WorkSample>& work);
+  // Records measurements, as coordinator at once, otherwise for the next report to it.
+  void record(const dispatch::KeyReports& keys,
+              const std::map<base::ServerId, dispatch::WorkSample>& work);
   const dispatch::RoutingView& view() const { return viewPublisher_.view(); }
 
   dispatch::EntrySettings settings_;
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -118,27 +118,23 @@
 void EntryControl::recordTraffic(TrafficReport report)
 {
   loadSharing_.report({ std::move(report.use), std::move(report.demand) });
-  if (coordinatorRole_.active()) {
-    recordForCoordinator(report.keys, report.work);
-    return;
-  }
-  reportSender_.addKeys(report.keys);
-  reportSender_.addWork(report.work);
+  record(report.keys, report.work);
 }
 
 void EntryControl::recordHotKeys(const dispatch::KeyReports& keys)
 {
-  if (coordinatorRole_.active()) {
-    recordForCoordinator(keys, {});
-    return;
-  }
-  reportSender_.addKeys(keys);
+  record(keys, {});
   reportIfDue(clockNow());
 }
 
-void EntryControl::recordForCoordinator(const dispatch::KeyReports& keys,
-                                        const std::map<base::ServerId, dispatch::WorkSample>& work)
+void EntryControl::record(const dispatch::KeyReports& keys,
+                          const std::map<base::ServerId, dispatch::WorkSample>& work)
 {
+  if (!coordinatorRole_.active()) {
+    reportSender_.addKeys(keys);
+    reportSender_.addWork(work);
+    return;
+  }
   const base::TimePoint now = clockNow();
   dispatch::MovePlanner& planner = coordinatorRole_.coordinator()->planner();
   for (const auto& [service, report] : keys) {
@@ -342,7 +338,7 @@
   if (message.sentAt != 0) {
     heartbeatSender_.onReport(message.vm, message.sentAt, now);
   }
-  recordForCoordinator(message.keys, message.work);
+  record(message.keys, message.work);
   viewPublisher_.onServersLeaving(message.leavingServers);
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
