--- a/libs/entry/include/entry/EntryControl.h
+++ b/libs/entry/include/entry/EntryControl.h
@@ -1,28 +1,28 @@
 #pragma once
 
 #include <entry/ByteCounts.h>
+#include <entry/ChangeRelay.h>
 #include <entry/ControlStatus.h>
+#include <entry/CoordinatorHandover.h>
 #include <entry/CoordinatorRole.h>
 #include <entry/Dispatcher.h>
+#include <entry/HeartbeatSender.h>
 #include <entry/LimitSharing.h>
 #include <entry/LoadSharing.h>
-#include <entry/ObjectMirror.h>
+#include <entry/ObjectMirrors.h>
+#include <entry/OwnershipMirror.h>
 #include <entry/PeerLink.h>
 #include <entry/QuotaSharing.h>
-#include <entry/ServerEntries.h>
+#include <entry/ReportSender.h>
+#include <entry/RoutingViewPublisher.h>
 #include <entry/SteadyTime.h>
+#include <entry/Succession.h>
 #include <entry/VmRegistry.h>
 
-#include <dispatch/CoordinatorElection.h>
 #include <dispatch/EntrySettings.h>
 #include <dispatch/EntryVmRecord.h>
-#include <dispatch/FormerServers.h>
-#include <dispatch/LeavingServers.h>
-#include <dispatch/OwnershipCopy.h>
 #include <dispatch/PeerTable.h>
-#include <dispatch/RoutingView.h>
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,7 +37,6 @@
 class EntryControl
 {
 public:
-  using Publish = std::function<void(std::shared_ptr<const dispatch::RoutingView>)>;
   using RemoteBreakListener = std::function<void(const ConnectionBreak&)>;
 
   // `run` is a random number that identifies this run of the process.
@@ -45,7 +44,7 @@
                const dispatch::EntrySettings& settings,
                EventLog& log,
                std::uint64_t run,
-               Publish publish,
+               RoutingViewPublisher::Publish publish,
                RemoteBreakListener remoteBreakListener,
                LoadSharing::SummaryListener sharedLoadListener,
                LimitSharing::GrantListener permitListener,
@@ -59,7 +58,10 @@
   void recordHotKeys(const dispatch::KeyReports& keys);
   void onConnectionBreak(const ConnectionBreak& connectionBreak);
   // Servers have said in answers to this VM or another one that they leave.
-  void onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers);
+  void onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers)
+  {
+    viewPublisher_.onServersLeaving(servers);
+  }
 
   // An answer to this VM named this limit, or none where there was one.
   void onServerLimit(const dispatch::ServerIncarnation& server,
@@ -80,95 +82,58 @@
 
 private:
   void onVmRegistered(const base::VmId& vm, const dispatch::EntryVmRecord& record);
+  void onVmsListed();
   void onConfiguration(const ObjectMirror::Objects& objects);
   void onServers(const ObjectMirror::Objects& objects);
-  void onDomainsOut(const ObjectMirror::Objects& objects);
   // The store has come back from a copy. What the VM has seen of ends of servers stays known.
   void onStoreRestored(std::uint64_t era);
-  // Sends a message to all other entry VMs.
-  void sendToAll(const PeerMessage& message);
-  void relay(const ObjectChange& change);
-  void onObjectChange(const ObjectChange& change);
-  void readOwnership();
-  void readOwnership(wire::ReadConsistency reading);
-  void onOwnershipRead(const StoreAnswer& answer, wire::ReadConsistency reading);
-  void adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision);
+  void onChangeRead(const ObjectChange& change);
   void onOwnershipChanged();
   void onRecordConfirmed(const dispatch::OwnershipRecord& record,
                          const dispatch::OwnershipDelta& delta);
   void onPeerMessage(const PeerMessage& message, const std::string& from);
   void onHeartbeat(const HeartbeatMessage& message, const std::string& from);
-  void onForward(const ForwardMessage& message);
+  void onCoordinatorStopped(const CoordinatorStoppedMessage& message);
+  void resignTo(const PeerAddress& successor);
+  void adoptFreshness(const HeartbeatMessage& message);
   void onReport(const ReportMessage& message, const std::string& from);
   void tick();
-  bool isStandby() const;
   void sendHeartbeats(base::TimePoint now);
   HeartbeatMessage heartbeat(base::TimePoint now);
-  bool isHandingOver() const;
-  void beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
-                                 base::TimePoint now);
-  void sendReport();
   void updateCoordinator();
   void updateLimits(base::TimePoint now);
   void updateQuotas(base::TimePoint now);
-  // Returns whether requests need keys, whose validity depends on how current the copy of the
-  // configuration is.
-  bool requiresKeys() const;
-  // Publishes up to which time the configuration in force holds all changes.
-  void updateFreshness();
   void reportIfDue(base::TimePoint now);
-  void recordForCoordinator(const dispatch::KeyReports& keys,
-                            const std::map<base::ServerId, dispatch::WorkSample>& work);
-  void publish();
-  void setEntryVms(std::size_t count);
+  PeerAddress addressOf(const dispatch::Coordinator& coordinator) const;
+  // Records measurements, as coordinator at once, otherwise for the next report to it.
+  void record(const dispatch::KeyReports& keys,
+              const std::map<base::ServerId, dispatch::WorkSample>& work);
+  const dispatch::RoutingView& view() const { return viewPublisher_.view(); }
 
   dispatch::EntrySettings settings_;
   EventLog& log_;
-  Publish publish_;
+  RoutingViewPublisher viewPublisher_;
   RemoteBreakListener remoteBreakListener_;
   dispatch::Coordinator self_;
   ByteCounts bytes_;
   CallClient calls_;
   StoreClient store_;
   PeerLink peerLink_;
+  dispatch::PeerTable peerTable_;
+  ChangeRelay changeRelay_;
+  HeartbeatSender heartbeatSender_;
+  CoordinatorHandover handover_;
+  ReportSender reportSender_;
   LoadSharing loadSharing_;
   LimitSharing limitSharing_;
   QuotaSharing quotaSharing_;
   CoordinatorRole coordinatorRole_;
-  dispatch::CoordinatorElection election_;
-  ObjectMirror configurationMirror_;
-  ObjectMirror serversMirror_;
-  ObjectMirror domainsOutMirror_;
-  // All mirrors, in the order in which heartbeats list their revisions.
-  std::array<ObjectMirror*, 3> mirrors_;
-  dispatch::OwnershipCopy ownership_;
+  Succession succession_;
+  ObjectMirrors mirrors_;
+  OwnershipMirror ownership_;
   asio::steady_timer tickTimer_;
-  dispatch::RoutingView view_;
-  ServerEntries serverEntries_;
-  dispatch::LeavingServers leavingServers_;
-  dispatch::FormerServers formerServers_;
-  dispatch::PeerTable peerTable_;
-  dispatch::ReportStamps reportStamps_;
-  dispatch::SentReports sentReports_;
-  // Whether the configuration in force is the copy's.
-  bool isConfigurationInForce_ = false;
   VmRegistry vmRegistry_;
-  // Measurements for the next report to the coordinator.
-  TrafficReport pendingReport_;
-  std::vector<ConnectionBreak> pendingConnectionBreaks_;
-  unsigned successionRank_ = 0;
-  base::TimePoint nextHeartbeatAt_{};
-  base::TimePoint nextReportAt_{};
-  // Time from which on a report with hot keys may be sent.
-  base::TimePoint nextHotReportAt_{};
-  // Epoch in which this VM, as coordinator, last listed the peers.
-  std::uint64_t peersListedEpoch_ = 0;
   bool leaving_ = false;
-  // Epoch in which this VM, as coordinator, asked for a handover; 0 if it hasn't. A process asks
-  // only once: with a successor that can't reach the store, the role would be passed on in circles.
-  std::uint64_t handoverEpoch_ = 0;
-  base::TimePoint coordinatorSince_{};
-  base::TimePoint lastHeartbeatAt_ = clockNow();
 };
 
 } // namespace sycamore::entry
--- a/libs/entry/src/EntryControl.cpp
+++ b/libs/entry/src/EntryControl.cpp
@@ -1,11 +1,8 @@
 #include <entry/EntryControl.h>
 
-#include <entry/ConfigurationLog.h>
 #include <entry/HandlerScope.h>
 #include <entry/SteadyTime.h>
 
-#include <wire/WireError.h>
-
 #include <algorithm>
 
 namespace sycamore::entry {
@@ -13,31 +10,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-// Delays between a change and the next watch, in which further changes accumulate. While many
-// servers start or stop, their objects change one by one in quick succession.
-constexpr std::chrono::milliseconds kConfigurationSettleDelay{ 150 };
-constexpr std::chrono::milliseconds kServersSettleDelay{ 300 };
-// Interval between two heartbeats of the coordinator.
-constexpr base::Duration kHeartbeatInterval = base::milliseconds(200);
-constexpr base::Duration kReportInterval = base::milliseconds(500);
-// Minimum interval between two reports while keys are hot.
-constexpr base::Duration kHotReportInterval = base::milliseconds(100);
-// Number of ranges whose change fits into the payload of an Ethernet frame.
-constexpr std::size_t kRangesPerMessage = 25;
-// Number of successors of the coordinator that aren't on standby, and the number of entry VMs from
-// which on others are.
-constexpr unsigned kWatchfulSuccessors = 8;
-constexpr std::size_t kMinVmsWithStandby = 24;
 // The answers of the store and of servers to the control thread may take this fraction of the
 // process's memory.
 constexpr std::uint64_t kControlMemoryShare = 4;
-// Time allowed for the reports of all VMs to arrive before a handover is considered.
-constexpr base::Duration kHandoverDelay = base::milliseconds(1000);
 // Time for which a previous coordinator may still give out permits: until its last confirmation by
 // the store has become too old.
 constexpr base::Duration kIssuerOverlap = base::milliseconds(1500);
-// Maximum number of broken connections reported in one message.
-constexpr std::size_t kMaxPendingConnectionBreaks = 32;
 
 dispatch::CoordinatorSettings coordinatorSettings(const dispatch::EntrySettings& settings)
 {
@@ -52,14 +30,14 @@
                            const dispatch::EntrySettings& settings,
                            EventLog& log,
                            std::uint64_t run,
-                           Publish publish,
+                           RoutingViewPublisher::Publish publish,
                            RemoteBreakListener remoteBreakListener,
                            LoadSharing::SummaryListener sharedLoadListener,
                            LimitSharing::GrantListener permitListener,
                            QuotaSharing::LoanListener loanListener)
   : settings_(settings)
   , log_(log)
-  , publish_(std::move(publish))
+  , viewPublisher_(log, std::move(publish))
   , remoteBreakListener_(std::move(remoteBreakListener))
   , self_{ settings.vm, run, settings.ip }
   , calls_(context, BufferQuota(settings.memoryBytes / kControlMemoryShare))
@@ -69,6 +47,11 @@
       { settings.ip, settings.peerPort },
       bytes_,
       [this](const PeerMessage& message, const std::string& from) { onPeerMessage(message, from); })
+  , peerTable_({})
+  , changeRelay_(peerLink_, peerTable_, log, settings.domain)
+  , heartbeatSender_(peerLink_, peerTable_, settings.domain)
+  , handover_(log, settings.capacity)
+  , reportSender_(peerLink_, settings, run)
   , loadSharing_(peerLink_, settings.ip, settings.domain, std::move(sharedLoadListener))
   , limitSharing_(peerLink_, log, std::move(permitListener))
   , quotaSharing_(peerLink_, settings.quota, run, std::move(loanListener))
@@ -84,47 +67,19 @@
         onRecordConfirmed(record, delta);
       },
       [this](const dispatch::OwnershipRecord& record, std::uint64_t revision) {
-        adoptRecord(record, revision);
+        ownership_.adopt(record, revision);
       })
-  , election_({}, clockNow())
-  , configurationMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::Configuration,
-        CatchUp::CurrentState,
-        MirrorSettings().watchDuration,
-        kConfigurationSettleDelay,
-        run + 1 },
-      [this](const auto& objects) { onConfiguration(objects); },
-      [this](const auto& change) { relay(change); })
-  , serversMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::Servers,
-        CatchUp::History,
-        MirrorSettings().watchDuration,
-        kServersSettleDelay,
-        run + 2 },
-      [this](const auto& objects) { onServers(objects); },
-      [this](const auto& change) { relay(change); })
-  , domainsOutMirror_(
-      context,
-      store_,
-      log,
-      { wire::Kind::DomainsOut,
-        CatchUp::CurrentState,
-        MirrorSettings().watchDuration,
-        kConfigurationSettleDelay,
-        run + 3 },
-      [this](const auto& objects) { onDomainsOut(objects); },
-      [this](const auto& change) { relay(change); })
-  , mirrors_{ &configurationMirror_, &serversMirror_, &domainsOutMirror_ }
-  , ownership_({}, clockNow())
+  , succession_(clockNow())
+  , mirrors_(context,
+             store_,
+             log,
+             run,
+             { [this](const auto& objects) { onConfiguration(objects); },
+               [this](const auto& objects) { onServers(objects); },
+               [this](const auto& objects) { viewPublisher_.setDomainsOut(objects); },
+               [this](const auto& change) { onChangeRead(change); } })
+  , ownership_(store_, log, [this] { onOwnershipChanged(); })
   , tickTimer_(context)
-  , serverEntries_(log)
-  , peerTable_({})
   , vmRegistry_(
       context,
       store_,
@@ -135,16 +90,14 @@
       // many share the limits, until the coordinator tells them.
       [this] { return coordinatorRole_.active(); },
       [this](const auto& vm, const auto& record) { onVmRegistered(vm, record); },
-      [this] { setEntryVms(std::max(view_.entryVms, peerTable_.vmsSharingLimits(clockNow()))); })
+      [this] { onVmsListed(); })
 {
   store_.setRestoredListener([this](std::uint64_t era) { onStoreRestored(era); });
 }
 
 void EntryControl::start()
 {
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->start();
-  }
+  mirrors_.start();
   vmRegistry_.start();
   tick();
 }
@@ -156,37 +109,32 @@
   }
 }
 
+void EntryControl::onVmsListed()
+{
+  viewPublisher_.setEntryVms(std::max(view().entryVms, peerTable_.vmsSharingLimits(clockNow())),
+                             coordinatorRole_.active());
+}
+
 void EntryControl::recordTraffic(TrafficReport report)
 {
   loadSharing_.report({ std::move(report.use), std::move(report.demand) });
-  if (coordinatorRole_.active()) {
-    recordForCoordinator(report.keys, report.work);
-    return;
-  }
-  for (const auto& [service, keys] : report.keys) {
-    pendingReport_.keys[service].merge(keys);
-  }
-  for (const auto& [server, sample] : report.work) {
-    pendingReport_.work[server].count += sample.count;
-    pendingReport_.work[server].total += sample.total;
-  }
+  record(report.keys, report.work);
 }
 
 void EntryControl::recordHotKeys(const dispatch::KeyReports& keys)
 {
-  if (coordinatorRole_.active()) {
-    recordForCoordinator(keys, {});
-    return;
-  }
-  for (const auto& [service, report] : keys) {
-    pendingReport_.keys[service].merge(report);
-  }
+  record(keys, {});
   reportIfDue(clockNow());
 }
 
-void EntryControl::recordForCoordinator(const dispatch::KeyReports& keys,
-                                        const std::map<base::ServerId, dispatch::WorkSample>& work)
+void EntryControl::record(const dispatch::KeyReports& keys,
+                          const std::map<base::ServerId, dispatch::WorkSample>& work)
 {
+  if (!coordinatorRole_.active()) {
+    reportSender_.addKeys(keys);
+    reportSender_.addWork(work);
+    return;
+  }
   const base::TimePoint now = clockNow();
   dispatch::MovePlanner& planner = coordinatorRole_.coordinator()->planner();
   for (const auto& [service, report] : keys) {
@@ -199,24 +147,7 @@
 
 void EntryControl::onConnectionBreak(const ConnectionBreak& connectionBreak)
 {
-  if (pendingConnectionBreaks_.size() < kMaxPendingConnectionBreaks) {
-    pendingConnectionBreaks_.push_back(connectionBreak);
-  }
-}
-
-void EntryControl::onServersLeaving(const std::vector<dispatch::ServerIncarnation>& servers)
-{
-  bool isNews = false;
-  for (const dispatch::ServerIncarnation& server : servers) {
-    isNews = leavingServers_.add(server) || isNews;
-  }
-  if (!isNews || !view_.servers) {
-    return;
-  }
-  auto marked = std::make_shared<std::map<base::ServerId, dispatch::BackendServer>>(*view_.servers);
-  leavingServers_.apply(*marked);
-  view_.servers = std::move(marked);
-  publish();
+  reportSender_.addConnectionBreak(connectionBreak);
 }
 
 void EntryControl::onServerLimit(const dispatch::ServerIncarnation& server,
@@ -238,175 +169,47 @@
 void EntryControl::beginDrain()
 {
   leaving_ = true;
-  nextHeartbeatAt_ = {};
+  reportSender_.beginDrain();
+  heartbeatSender_.expedite();
 }
 
 void EntryControl::onConfiguration(const ObjectMirror::Objects& objects)
 {
-  const auto found = objects.find(wire::kConfigurationName);
-  if (found == objects.end()) {
-    return;
-  }
-  isConfigurationInForce_ = false;
-  try {
-    auto configuration = wire::decodeConfiguration(found->second);
-    if (view_.configuration && configuration->version < view_.configuration->version) {
-      log_.write(
-        "configuration_older",
-        { { "version", configuration->version }, { "in_force", view_.configuration->version } });
-      return;
-    }
-    logConfiguration(log_, *configuration, found->second.revision);
-    isConfigurationInForce_ = true;
-    view_.configuration = std::move(configuration);
-    quotaSharing_.setConfiguration(view_.configuration);
-    publish();
-  } catch (const wire::WireError& error) {
-    log_.write("configuration_unreadable", { { "error", error.what() } });
+  if (viewPublisher_.setConfiguration(objects)) {
+    quotaSharing_.setConfiguration(view().configuration);
   }
 }
 
 void EntryControl::onServers(const ObjectMirror::Objects& objects)
 {
-  const base::TimePoint now = clockNow();
-  auto servers = serverEntries_.decode(objects, view_.servers.get(), now);
-  if (view_.servers) {
-    formerServers_.onServersChanged(*view_.servers, *servers, now);
-  }
-  leavingServers_.apply(*servers);
-  limitSharing_.retain(*servers);
-  view_.servers = std::move(servers);
-  publish();
-}
-
-void EntryControl::onDomainsOut(const ObjectMirror::Objects& objects)
-{
-  std::set<base::DomainId> out;
-  for (const auto& [name, object] : objects) {
-    out.insert(base::DomainId(name));
-  }
-  if (out != view_.domainsOut) {
-    nlohmann::json names = nlohmann::json::array();
-    for (const base::DomainId& domain : out) {
-      names.push_back(domain.value());
-    }
-    log_.write("domains_out", { { "domains", names } });
-    view_.domainsOut = std::move(out);
-    publish();
-  }
-}
-
-// Sends a change to the other entry VMs if this VM is the coordinator, which watches the store for
-// all.
-void EntryControl::relay(const ObjectChange& change)
-{
-  if (!coordinatorRole_.active()) {
-    return;
-  }
-  ObjectChange essential = change;
-  if (change.kind == wire::Kind::Servers) {
-    for (wire::WatchEvent& event : essential.events) {
-      event.object = wire::essentialServerEntry(event.object);
-    }
-  }
-  const std::vector<ObjectChange> parts = splitChange(essential);
-  if (parts.empty() && !change.events.empty()) {
-    log_.write("change_not_relayed",
-               { { "kind", static_cast<int>(change.kind) },
-                 { "revision", change.part.revision },
-                 { "objects", change.events.size() } });
-  }
-  for (const ObjectChange& part : parts) {
-    sendToAll(ObjectChangeMessage{ part });
-  }
-}
-
-void EntryControl::sendToAll(const PeerMessage& message)
-{
-  peerLink_.send(dispatch::planFanout(peerTable_.receivers(), settings_.domain, {}, clockNow()),
-                 message);
+  viewPublisher_.setServers(objects, clockNow());
+  limitSharing_.retain(*view().servers);
 }
 
-// Reads the ownership record. If it is known to have changed, a possibly outdated replica of the
-// store is enough as long as it has the change; otherwise onOwnershipRead() reads the current one.
-void EntryControl::readOwnership()
+// The coordinator watches the store for all VMs.
+void EntryControl::onChangeRead(const ObjectChange& change)
 {
-  readOwnership(ownership_.isBehind() ? wire::ReadConsistency::StaleAllowed
-                                      : wire::ReadConsistency::Current);
-}
-
-void EntryControl::readOwnership(wire::ReadConsistency reading)
-{
-  store_.read(wire::Kind::Ownership,
-              wire::kOwnershipName,
-              reading,
-              [this, reading](const StoreAnswer& answer) { onOwnershipRead(answer, reading); });
-}
-
-void EntryControl::onOwnershipRead(const StoreAnswer& answer, wire::ReadConsistency reading)
-{
-  if (answer.outcome == StoreOutcome::Done) {
-    try {
-      const wire::StoreObject object = wire::readObject(answer.body, answer.era);
-      // A replica may return a record that is older than the announced one. Without a copy, as
-      // after a start, such a record would bring back owners that have lost their keys since.
-      const bool isOutdated = reading == wire::ReadConsistency::StaleAllowed &&
-                              object.revision < ownership_.announcedRevision();
-      if (!isOutdated) {
-        adoptRecord(dispatch::readOwnershipRecord(wire::ownContent(object)), object.revision);
-      }
-    } catch (const base::Error& error) {
-      log_.write("ownership_unreadable", { { "error", error.what() } });
-    }
-  }
-  if (reading == wire::ReadConsistency::StaleAllowed && store_.reachable() &&
-      ownership_.isBehind()) {
-    readOwnership(wire::ReadConsistency::Current);
+  if (coordinatorRole_.active()) {
+    changeRelay_.send(change);
   }
 }
 
 void EntryControl::onStoreRestored(std::uint64_t era)
 {
-  const base::TimePoint now = clockNow();
   log_.write("store_restored", { { "era", era } });
-  std::vector<dispatch::ServerIncarnation> ended;
-  if (view_.servers) {
-    for (const dispatch::BackendServer& server : formerServers_.servers(now)) {
-      const auto registered = view_.servers->find(server.id);
-      if (registered == view_.servers->end() || registered->second.born != server.born) {
-        ended.push_back({ server.id, server.born });
-      }
-    }
-    for (const auto& [id, server] : *view_.servers) {
-      if (server.draining) {
-        ended.push_back({ id, server.born });
-      }
-    }
-  }
-  onServersLeaving(ended);
+  viewPublisher_.onServersLeaving(viewPublisher_.endedServers(clockNow()));
   coordinatorRole_.onStoreRestored();
   vmRegistry_.start();
 }
 
-void EntryControl::adoptRecord(dispatch::OwnershipRecord record, std::uint64_t revision)
-{
-  // The owners of the own copy are newer than those of a record that the store brought back.
-  if (ownership_.record() && dispatch::isFromBeforeRestoration(record, dispatch::eraOf(revision))) {
-    return;
-  }
-  if (ownership_.onRecordRead(std::move(record), revision)) {
-    onOwnershipChanged();
-  }
-}
-
 void EntryControl::onOwnershipChanged()
 {
-  view_.ownership = ownership_.record();
-  election_.onRecordRead(*view_.ownership, clockNow());
-  if (coordinatorRole_.active() && view_.ownership->coordinator != self_) {
+  const std::shared_ptr<const dispatch::OwnershipRecord>& record = ownership_.record();
+  succession_.onRecordRead(*record, clockNow());
+  if (coordinatorRole_.active() && record->coordinator != self_) {
     coordinatorRole_.resign("the ownership record names another entry VM as coordinator");
   }
-  publish();
+  viewPublisher_.setOwnership(record);
 }
 
 // The store has confirmed a record of this VM as coordinator. The other entry VMs receive the
@@ -414,10 +217,8 @@
 void EntryControl::onRecordConfirmed(const dispatch::OwnershipRecord& record,
                                      const dispatch::OwnershipDelta& delta)
 {
-  adoptRecord(record, delta.revision);
-  for (const dispatch::OwnershipDelta& part : dispatch::splitDelta(delta, kRangesPerMessage)) {
-    sendToAll(OwnershipDeltaMessage{ part });
-  }
+  ownership_.adopt(record, delta.revision);
+  changeRelay_.send(delta);
 }
 
 void EntryControl::onPeerMessage(const PeerMessage& message, const std::string& from)
@@ -427,13 +228,11 @@
   } else if (const auto* report = std::get_if<ReportMessage>(&message)) {
     onReport(*report, from);
   } else if (const auto* change = std::get_if<OwnershipDeltaMessage>(&message)) {
-    if (!coordinatorRole_.active() && ownership_.applyDelta(change->delta, clockNow())) {
-      onOwnershipChanged();
+    if (!coordinatorRole_.active()) {
+      ownership_.onDelta(change->delta, clockNow());
     }
   } else if (const auto* relayed = std::get_if<ObjectChangeMessage>(&message)) {
-    onObjectChange(relayed->change);
-  } else if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
-    onForward(*forward);
+    mirrors_.onChangePart(relayed->change);
   } else if (const auto* use = std::get_if<ServerUseMessage>(&message)) {
     loadSharing_.onUseMessage(*use, from);
   } else if (const auto* load = std::get_if<LoadSummaryMessage>(&message)) {
@@ -451,96 +250,81 @@
   } else if (const auto* loans = std::get_if<QuotaLoansMessage>(&message)) {
     quotaSharing_.onMessage(*loans);
   } else if (const auto* stopped = std::get_if<CoordinatorStoppedMessage>(&message)) {
-    // Only the direct predecessor knows when all coordinators before it stop granting.
-    if (coordinatorRole_.active() &&
-        stopped->epoch + 1 == coordinatorRole_.coordinator()->record().epoch) {
-      const base::TimePoint now = clockNow();
-      coordinatorRole_.coordinator()->onPreviousCoordinatorStopped(
-        { now + stopped->previousCoordinatorsStopIn, now + stopped->unansweredGrantsExpireIn });
-      quotaSharing_.onPredecessorStopped(now + stopped->previousCoordinatorsStopIn);
-    }
+    onCoordinatorStopped(*stopped);
   }
 }
 
+void EntryControl::onCoordinatorStopped(const CoordinatorStoppedMessage& message)
+{
+  // Only the direct predecessor knows when all coordinators before it stop granting.
+  if (!coordinatorRole_.active() ||
+      message.epoch + 1 != coordinatorRole_.coordinator()->record().epoch) {
+    return;
+  }
+  const base::TimePoint now = clockNow();
+  coordinatorRole_.coordinator()->onPreviousCoordinatorStopped(
+    { now + message.previousCoordinatorsStopIn, now + message.unansweredGrantsExpireIn });
+  quotaSharing_.onPredecessorStopped(now + message.previousCoordinatorsStopIn);
+}
+
 void EntryControl::onHeartbeat(const HeartbeatMessage& message, const std::string& from)
 {
-  const std::uint64_t known = view_.ownership ? view_.ownership->epoch : 0;
+  const std::uint64_t known = view().ownership ? view().ownership->epoch : 0;
   if (message.heartbeat.epoch < known || message.heartbeat.coordinator == self_) {
     return;
   }
+  const PeerAddress sender{
+    from, peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain)
+  };
   if (coordinatorRole_.active()) {
-    const std::uint64_t own = coordinatorRole_.coordinator()->record().epoch;
-    if (message.heartbeat.epoch <= own) {
+    if (message.heartbeat.epoch <= coordinatorRole_.coordinator()->record().epoch) {
       return;
     }
-    const base::TimePoint now = clockNow();
-    const dispatch::CoordinatorStop stop = coordinatorRole_.coordinator()->stopReport(now);
-    coordinatorRole_.resign("another entry VM has a higher epoch");
-    quotaSharing_.stopLending();
-    const CoordinatorStoppedMessage stopped{
-      own,
-      std::max(base::Duration::zero(), stop.previousCoordinatorsStopAt - now),
-      std::max(base::Duration::zero(), stop.unansweredGrantsExpireAt - now)
-    };
-    const bool isSameDomain =
-      peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain);
-    peerLink_.send({ from, isSameDomain }, stopped);
+    resignTo(sender);
   }
-  lastHeartbeatAt_ = clockNow();
-  quotaSharing_.onCoordinatorKnown(
-    message.heartbeat.epoch,
-    { from, peerTable_.isInDomain(message.heartbeat.coordinator.vm, settings_.domain) });
-  election_.onHeartbeat(message.heartbeat, lastHeartbeatAt_);
+  succession_.onHeartbeat(message, clockNow());
+  quotaSharing_.onCoordinatorKnown(message.heartbeat.epoch, sender);
   ownership_.onRevisionAnnounced(message.revision, clockNow());
   if (dispatch::eraOf(message.revision) > 0) {
     store_.onEra(dispatch::eraOf(message.revision));
   }
-  successionRank_ = message.rank;
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
   }
-  onServersLeaving(message.leavingServers);
+  viewPublisher_.onServersLeaving(message.leavingServers);
   limitSharing_.onPage(message.limitedServers, clockNow());
   peerTable_.onSharersAnnounced(message.entryVms, clockNow());
-  setEntryVms(message.entryVms);
+  viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
-  const auto configurationCurrentAt =
-    message.configurationEcho ? sentReports_.currentAt(*message.configurationEcho) : std::nullopt;
-  if (configurationCurrentAt && !message.lastChangeRevisions.empty()) {
-    // A stamp of another process would put it into the future.
-    configurationMirror_.onRelayShownCurrent(message.lastChangeRevisions.front(),
-                                             std::min(*configurationCurrentAt, clockNow()));
-  }
-  if (message.isRelay && message.lastChangeRevisions.size() == mirrors_.size()) {
-    for (std::size_t i = 0; i < mirrors_.size(); ++i) {
-      mirrors_[i]->onRelayAnnouncement(message.lastChangeRevisions[i], clockNow());
-    }
-    return;
-  }
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->onCoordinatorHeard(clockNow());
-  }
+  adoptFreshness(message);
+  mirrors_.onCoordinatorHeard(message.isRelay, message.lastChangeRevisions, clockNow());
 }
 
-void EntryControl::onObjectChange(const ObjectChange& change)
+// Stops acting as the coordinator, and tells its successor when it may grant.
+void EntryControl::resignTo(const PeerAddress& successor)
 {
-  for (ObjectMirror* mirror : mirrors_) {
-    if (mirror->kind() == change.kind) {
-      mirror->onChangePart(change);
-    }
-  }
-}
-
-// Passes a change on to the other VMs of this domain, and applies it if this VM is among the
-// receivers, without a datagram to itself.
-void EntryControl::onForward(const ForwardMessage& message)
-{
-  ForwardMessage others{ message.receivers, message.message };
-  const bool isReceiver = std::erase(others.receivers, settings_.ip) > 0;
-  peerLink_.forward(others);
-  const auto enclosed = isReceiver ? decodePeerMessage(message.message) : std::nullopt;
-  if (enclosed && !std::holds_alternative<ForwardMessage>(*enclosed)) {
-    onPeerMessage(*enclosed, "");
+  const base::TimePoint now = clockNow();
+  const std::uint64_t epoch = coordinatorRole_.coordinator()->record().epoch;
+  const dispatch::CoordinatorStop stop = coordinatorRole_.coordinator()->stopReport(now);
+  coordinatorRole_.resign("another entry VM has a higher epoch");
+  quotaSharing_.stopLending();
+  const CoordinatorStoppedMessage stopped{
+    epoch,
+    std::max(base::Duration::zero(), stop.previousCoordinatorsStopAt - now),
+    std::max(base::Duration::zero(), stop.unansweredGrantsExpireAt - now)
+  };
+  peerLink_.send(successor, stopped);
+}
+
+// Records how current the copy of the configuration is according to the coordinator's heartbeat.
+void EntryControl::adoptFreshness(const HeartbeatMessage& message)
+{
+  const auto currentAt =
+    message.configurationEcho ? reportSender_.currentAt(*message.configurationEcho) : std::nullopt;
+  if (currentAt && !message.lastChangeRevisions.empty()) {
+    // A stamp of another process would put it into the future.
+    mirrors_.onConfigurationShownCurrent(message.lastChangeRevisions.front(),
+                                         std::min(*currentAt, clockNow()));
   }
 }
 
@@ -552,10 +336,10 @@
   const base::TimePoint now = clockNow();
   peerTable_.onReport(message.vm, { from, message.domain, message.capacity }, message.leaving, now);
   if (message.sentAt != 0) {
-    reportStamps_.onReport(message.vm, message.sentAt, now);
+    heartbeatSender_.onReport(message.vm, message.sentAt, now);
   }
-  recordForCoordinator(message.keys, message.work);
-  onServersLeaving(message.leavingServers);
+  record(message.keys, message.work);
+  viewPublisher_.onServersLeaving(message.leavingServers);
   for (const ConnectionBreak& connectionBreak : message.connectionBreaks) {
     remoteBreakListener_(connectionBreak);
     onConnectionBreak(connectionBreak);
@@ -576,61 +360,38 @@
   if (coordinatorRole_.active()) {
     updateCoordinator();
     coordinatorRole_.tick(now);
-  } else if (!leaving_ && view_.servers && view_.configuration &&
-             election_.shouldTryTakeover(successionRank_, store_.reachable(), now)) {
-    coordinatorRole_.tryTakeover(view_.ownership ? view_.ownership->epoch : 0);
+  } else if (!leaving_ && view().servers && view().configuration &&
+             succession_.shouldTryTakeover(store_.reachable(), now)) {
+    coordinatorRole_.tryTakeover(view().ownership ? view().ownership->epoch : 0);
   }
-  for (ObjectMirror* mirror : mirrors_) {
-    mirror->tick(coordinatorRole_.active(), isStandby(), now);
-  }
-  if (coordinatorRole_.active() && now >= nextHeartbeatAt_) {
+  mirrors_.tick(coordinatorRole_.active(), succession_.isStandby(view().entryVms), now);
+  if (coordinatorRole_.active() && heartbeatSender_.isDue(now)) {
     sendHeartbeats(now);
-    nextHeartbeatAt_ = now + kHeartbeatInterval;
   }
   updateLimits(now);
   updateQuotas(now);
-  updateFreshness();
-  if (!coordinatorRole_.active() && ownership_.beginReadIfDue(now) && store_.mayCall(now)) {
-    readOwnership();
+  viewPublisher_.onConfigurationCurrent(mirrors_.configurationCurrentAt());
+  if (!coordinatorRole_.active()) {
+    ownership_.tick(now);
   }
   reportIfDue(now);
-  loadSharing_.tick(view_, now);
-}
-
-// In a large deployment, the first successors notice for all that the store isn't watched.
-bool EntryControl::isStandby() const
-{
-  return view_.entryVms > kMinVmsWithStandby && successionRank_ >= kWatchfulSuccessors;
+  loadSharing_.tick(view(), now);
 }
 
 void EntryControl::sendHeartbeats(base::TimePoint now)
 {
-  if (peersListedEpoch_ != coordinatorRole_.coordinator()->record().epoch) {
-    peersListedEpoch_ = coordinatorRole_.coordinator()->record().epoch;
-    coordinatorSince_ = now;
+  if (handover_.onEpoch(coordinatorRole_.coordinator()->record().epoch, now)) {
     vmRegistry_.list();
   }
-  const std::vector<dispatch::Candidate> order = peerTable_.successors(now);
-  beginHandoverIfWorthwhile(order, now);
+  const std::vector<dispatch::Candidate> successors = peerTable_.successors(now);
+  handover_.beginIfWorthwhile(successors, now);
   HeartbeatMessage message = heartbeat(now);
-  setEntryVms(message.entryVms);
-  // Unresponsive VMs get the last rank, since they may respond again.
-  std::map<base::VmId, unsigned> ranks;
-  for (const dispatch::Candidate& candidate : order) {
-    ranks.emplace(candidate.vm, static_cast<unsigned>(ranks.size()));
-  }
-  const std::map<base::DomainId, std::string> loadAggregators = peerTable_.loadAggregators(now);
-  nameLoadAggregators(message, loadAggregators, settings_.domain, settings_.ip);
+  viewPublisher_.setEntryVms(message.entryVms, coordinatorRole_.active());
+  nameLoadAggregators(message, peerTable_.loadAggregators(now), settings_.domain, settings_.ip);
   loadSharing_.setAggregators(message.loadAggregator, message.otherLoadAggregators);
-  for (const auto& [vm, peer] : peerTable_.peers()) {
-    const auto rank = ranks.find(vm);
-    message.rank = rank == ranks.end() ? static_cast<unsigned>(ranks.size()) : rank->second;
-    nameLoadAggregators(message, loadAggregators, peer.domain, peer.address);
-    if (requiresKeys()) {
-      message.configurationEcho = reportStamps_.echoFor(vm, configurationMirror_.currentAt());
-    }
-    peerLink_.send({ peer.address, peer.domain == settings_.domain }, message);
-  }
+  const base::TimePoint configurationCurrentAt =
+    viewPublisher_.requiresKeys() ? mirrors_.configurationCurrentAt() : base::TimePoint{};
+  heartbeatSender_.send(std::move(message), successors, configurationCurrentAt, now);
 }
 
 // Returns the part of a heartbeat that is the same for all receivers.
@@ -640,144 +401,91 @@
   message.heartbeat = { self_,
                         coordinatorRole_.coordinator()->record().epoch,
                         coordinatorRole_.hasRecentStoreContact(now),
-                        leaving_ || isHandingOver() };
+                        leaving_ || handover_.isHandingOver() };
   message.entryVms = static_cast<unsigned>(peerTable_.vmsSharingLimits(now));
   message.revision = coordinatorRole_.revision();
-  message.connectionBreaks = std::move(pendingConnectionBreaks_);
-  pendingConnectionBreaks_.clear();
-  message.leavingServers = leavingServers_.registered();
+  message.connectionBreaks = reportSender_.takeConnectionBreaks();
+  message.leavingServers = viewPublisher_.leavingServers();
   message.limitedServers = limitSharing_.nextPage();
-  message.isRelay = coordinatorRole_.hasRecentStoreContact(now);
-  for (const ObjectMirror* mirror : mirrors_) {
-    message.isRelay = message.isRelay && mirror->mayRelay(now);
-    message.lastChangeRevisions.push_back(mirror->lastChangeRevision());
-  }
+  message.isRelay = coordinatorRole_.hasRecentStoreContact(now) && mirrors_.mayRelay(now);
+  message.lastChangeRevisions = mirrors_.lastChangeRevisions();
   return message;
 }
 
-bool EntryControl::isHandingOver() const
-{
-  return handoverEpoch_ != 0 && coordinatorRole_.coordinator()->record().epoch == handoverEpoch_;
-}
-
-// The first coordinator is the VM that was first to write the record, which may have less capacity
-// than another.
-void EntryControl::beginHandoverIfWorthwhile(const std::vector<dispatch::Candidate>& order,
-                                             base::TimePoint now)
-{
-  if (handoverEpoch_ != 0 || order.empty() || now < coordinatorSince_ + kHandoverDelay ||
-      !dispatch::isWorthHandover(settings_.capacity, order.front())) {
-    return;
-  }
-  handoverEpoch_ = coordinatorRole_.coordinator()->record().epoch;
-  log_.write("coordinator_hands_over",
-             { { "to", order.front().vm.value() },
-               { "capacity", order.front().capacity },
-               { "own_capacity", settings_.capacity } });
-}
-
 void EntryControl::reportIfDue(base::TimePoint now)
 {
-  const bool isDue =
-    now >= nextReportAt_ || (now >= nextHotReportAt_ && dispatch::hasHotSpan(pendingReport_.keys));
-  if (coordinatorRole_.active() || !isDue) {
+  if (coordinatorRole_.active() || !reportSender_.isDue(now)) {
     return;
   }
-  sendReport();
-  nextReportAt_ = now + kReportInterval;
-  nextHotReportAt_ = now + kHotReportInterval;
+  if (view().ownership) {
+    reportSender_.send(addressOf(view().ownership->coordinator),
+                       viewPublisher_.leavingServers(),
+                       viewPublisher_.requiresKeys());
+  }
+  reportSender_.scheduleNext(now);
 }
 
-void EntryControl::sendReport()
+PeerAddress EntryControl::addressOf(const dispatch::Coordinator& coordinator) const
 {
-  if (!view_.ownership) {
-    return;
-  }
-  ReportMessage message;
-  message.vm = self_.vm;
-  message.domain = settings_.domain;
-  message.run = self_.run;
-  message.capacity = settings_.capacity;
-  message.keys = std::move(pendingReport_.keys);
-  message.work = std::move(pendingReport_.work);
-  message.connectionBreaks = std::move(pendingConnectionBreaks_);
-  message.leaving = leaving_;
-  message.leavingServers = leavingServers_.registered();
-  if (requiresKeys()) {
-    message.sentAt = sentReports_.onSend(clockNow());
-  }
-  pendingReport_ = {};
-  pendingConnectionBreaks_.clear();
-  const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
-  peerLink_.send({ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) },
-                 message);
+  return { coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) };
 }
 
 ControlStatus EntryControl::status() const
 {
   ControlStatus status;
   status.isCoordinator = coordinatorRole_.active();
-  status.watchesStore = std::ranges::all_of(mirrors_, &ObjectMirror::isWatching);
+  status.watchesStore = mirrors_.areWatching();
   status.storeReachable = store_.reachable();
   status.calls = store_.calls();
   status.bytes = bytes_;
   status.ownershipRevision = ownership_.revision();
-  status.entryVms = view_.entryVms;
+  status.entryVms = view().entryVms;
   status.quotas = quotaSharing_.counts();
   status.malformedTokens = coordinatorRole_.malformedTokens();
   status.orderAnswers = calls_.answers();
-  for (std::size_t i = 0; i < mirrors_.size(); ++i) {
-    status.secondsBehind.at(i) =
-      std::chrono::duration<double>(mirrors_[i]->timeBehind(clockNow())).count();
-    status.secondsSinceCurrent.at(i) =
-      std::chrono::duration<double>(mirrors_[i]->age(clockNow())).count();
-  }
+  status.secondsBehind = mirrors_.secondsBehind(clockNow());
+  status.secondsSinceCurrent = mirrors_.secondsSinceCurrent(clockNow());
   if (coordinatorRole_.active()) {
     status.ranges = coordinatorRole_.coordinator()->managedRanges();
     status.rangesUnowned = coordinatorRole_.coordinator()->unownedRanges();
     status.hotSpanSpreads = coordinatorRole_.hotSpanSpreads();
   } else {
     status.secondsSinceHeartbeat =
-      std::chrono::duration<double>(clockNow() - lastHeartbeatAt_).count();
+      std::chrono::duration<double>(succession_.timeSinceHeartbeat(clockNow())).count();
   }
   return status;
 }
 
 void EntryControl::updateCoordinator()
 {
-  if (view_.servers && view_.configuration) {
-    coordinatorRole_.coordinator()->setServices(view_.configuration->services);
-    coordinatorRole_.coordinator()->setServers(*view_.servers, clockNow());
-    coordinatorRole_.coordinator()->addFormerServers(formerServers_.servers(clockNow()));
-    coordinatorRole_.coordinator()->setDomainsOut(view_.domainsOut);
-    coordinatorRole_.coordinator()->planner().setLimits(view_.limitedServers);
+  if (view().servers && view().configuration) {
+    coordinatorRole_.coordinator()->setServices(view().configuration->services);
+    coordinatorRole_.coordinator()->setServers(*view().servers, clockNow());
+    coordinatorRole_.coordinator()->addFormerServers(viewPublisher_.formerServers(clockNow()));
+    coordinatorRole_.coordinator()->setDomainsOut(view().domainsOut);
+    coordinatorRole_.coordinator()->planner().setLimits(view().limitedServers);
   }
 }
 
 void EntryControl::updateLimits(base::TimePoint now)
 {
-  if (view_.ownership) {
-    const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
-    limitSharing_.setCoordinator(
-      PeerAddress{ coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
+  if (view().ownership) {
+    limitSharing_.setCoordinator(addressOf(view().ownership->coordinator));
   }
   const bool isSoleIssuer = coordinatorRole_.active() &&
-                            now >= coordinatorSince_ + kIssuerOverlap &&
+                            now >= handover_.epochBeganAt() + kIssuerOverlap &&
                             coordinatorRole_.hasRecentStoreContact(now);
   limitSharing_.setRole(coordinatorRole_.active(), isSoleIssuer, now);
   if (limitSharing_.takeChange()) {
-    view_.limitedServers = limitSharing_.list();
-    publish();
+    viewPublisher_.setLimitedServers(limitSharing_.list());
   }
 }
 
 void EntryControl::updateQuotas(base::TimePoint now)
 {
-  if (view_.ownership) {
-    const dispatch::Coordinator& coordinator = view_.ownership->coordinator;
-    quotaSharing_.onCoordinatorKnown(
-      view_.ownership->epoch,
-      { coordinator.address, peerTable_.isInDomain(coordinator.vm, settings_.domain) });
+  if (view().ownership) {
+    quotaSharing_.onCoordinatorKnown(view().ownership->epoch,
+                                     addressOf(view().ownership->coordinator));
   }
   if (coordinatorRole_.active()) {
     quotaSharing_.lend(
@@ -787,35 +495,4 @@
   }
 }
 
-bool EntryControl::requiresKeys() const
-{
-  return view_.configuration && view_.configuration->workspaces;
-}
-
-void EntryControl::updateFreshness()
-{
-  const base::TimePoint currentAt = configurationMirror_.currentAt();
-  if (requiresKeys() && isConfigurationInForce_ && currentAt > view_.configurationCurrentAt) {
-    view_.configurationCurrentAt = currentAt;
-    publish();
-  }
-}
-
-void EntryControl::publish()
-{
-  publish_(std::make_shared<dispatch::RoutingView>(view_));
-}
-
-void EntryControl::setEntryVms(std::size_t count)
-{
-  if (view_.entryVms != count && count > 0) {
-    log_.write("entry_vms",
-               { { "from", view_.entryVms },
-                 { "to", count },
-                 { "counted_here", coordinatorRole_.active() } });
-    view_.entryVms = count;
-    publish();
-  }
-}
-
 } // namespace sycamore::entry
