Bound the wait for a refused opening call on a used connection, and count its bytes

Change: 0.3 s for the call on a used connection; first and later opening calls are told apart by the connection at the start; bytes are added to the next call's.

--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -5,6 +5,7 @@
 #include <wire/ServerProtocol.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamore::entry {
 
@@ -13,6 +14,8 @@
 // Time after which a connection is given up on which the server hasn't answered the opening call:
 // another one may be read sooner.
 constexpr base::Duration kOpeningTimeout = base::milliseconds(2000);
+// The same for a connection on which it has answered another call, and which it therefore reads.
+constexpr base::Duration kSeparationTimeout = base::milliseconds(300);
 // Maximum number of connections that are being opened to one address beyond the number of calls
 // that wait for them.
 constexpr std::size_t kMaxSpareOpenings = 2;
@@ -75,12 +78,15 @@
     : timer(context)
     , endpoint(e)
     , connection(std::move(c))
+    , isFirst(!connection->open())
   {
   }
 
   asio::steady_timer timer;
   dispatch::Endpoint endpoint;
   std::shared_ptr<ServerConnection> connection;
+  // Whether no other call came before it.
+  bool isFirst;
   bool isEnded = false;
 };
 
@@ -92,6 +98,8 @@
   // Opening calls in progress on new connections, and on others.
   std::size_t openings = 0;
   std::size_t separations = 0;
+  // Bytes of opening calls that aren't yet part of a call's result.
+  std::size_t openingBytes = 0;
   // Whether the server answers opening calls unlike those that it accepts.
   bool tellsOpenings = true;
 };
@@ -155,6 +163,7 @@
   if (needsId) {
     count(result);
   }
+  result.bytes += std::exchange(destination.openingBytes, 0);
   const bool isReusable = result.reusable;
   const bool needsSeparation = needsId && !result.isIdentified;
   if (isReusable && !needsSeparation) {
@@ -172,7 +181,7 @@
 {
   if (pending.call.opening && destination.tellsOpenings) {
     pending.connection->acceptUnidentifiedAnswers();
-    sendOpening(pending.call, pending.connection, pending.call.timeout);
+    sendOpening(pending.call, pending.connection, kSeparationTimeout);
   } else {
     pending.connection->abandon();
   }
@@ -193,16 +202,14 @@
                              base::Duration timeout)
 {
   Destination& destination = destinationOf(call.endpoint);
-  ++(connection->open() ? destination.separations : destination.openings);
   const auto opening = std::make_shared<Opening>(context_, call.endpoint, connection);
+  ++(opening->isFirst ? destination.openings : destination.separations);
   opening->timer.expires_after(
     std::chrono::duration_cast<std::chrono::steady_clock::duration>(timeout));
   opening->timer.async_wait([this, opening](const error_code& error) {
     if (!error && !opening->isEnded) {
-      ExchangeResult result;
-      result.reused = opening->connection->reused();
       opening->connection->abandon();
-      onOpened(*opening, std::move(result));
+      onOpened(*opening, {});
     }
   });
   const std::string id = call.requestId.empty() ? "" : call.requestId + "-opening";
@@ -220,7 +227,8 @@
   Destination& destination = destinationOf(opening.endpoint);
   opening.isEnded = true;
   opening.timer.cancel();
-  --(result.reused ? destination.separations : destination.openings);
+  --(opening.isFirst ? destination.openings : destination.separations);
+  destination.openingBytes += result.bytes;
   const unsigned status = result.end == ExchangeEnd::Answered ? result.answer.status : 0;
   const bool isToldApart = result.isIdentified || (status != 0 && !isSuccess(status));
   if (result.reusable && isToldApart) {
@@ -232,7 +240,7 @@
   if (result.reusable) {
     opening.connection->abandon();
   }
-  if (result.reused) {
+  if (!opening.isFirst) {
     if (!destination.waiting.empty()) {
       openConnection(destination.waiting.front()->call);
     }
