Let servers of the ownership model read new connections late

Change: kind of event "late-read". A server is busy for up to 3 s and reads new connections late, in any order, grants and releases, also those that were given up. As CallClient is to do it, a new connection carries an opening call first, and a grant is written once the server has answered that; otherwise it is reported as not sent. The deliberate fault "grants on unread connections" leaves the opening call out. The kinds that follow from a seed stay what they were; the new one has runs of its own: alone, with cuts and with several kinds. Assumed, not shown: a server reads a call on an answered connection when it arrives.

--- a/libs/dispatch/tests/OwnershipCalls.cpp
+++ b/libs/dispatch/tests/OwnershipCalls.cpp
@@ -12,12 +12,25 @@
   return server != nullptr && (!isCut || term.isBehindCut == server->isBehindCut);
 }
 
+base::TimePoint OwnershipCoordinators::readTime(const ModelServer& server)
+{
+  const base::TimePoint now = play_.clock.now();
+  const base::TimePoint freeFrom = std::max(now, server.pausedUntil);
+  if (server.busyUntil <= freeFrom) {
+    return freeFrom;
+  }
+  // A busy server reads its connections in any order.
+  const std::chrono::duration<double> busyFor = server.busyUntil - freeFrom;
+  return freeFrom + play_.extra.between(0, busyFor.count());
+}
+
 void OwnershipCoordinators::advance(Term& term, GrantCall& call)
 {
   const base::TimePoint now = play_.clock.now();
   const bool isStalled = now < term.stalledUntil;
   ModelServer* const server = servers_.at(call.order.server);
-  if (!call.isSent && !call.isReported && !isStalled && now >= call.connectsAt) {
+  if (!call.isSent && !call.isReported && !isStalled && now >= call.connectsAt &&
+      advanceOpening(term, call, server)) {
     send(term, call, server);
     if (call.isReported) {
       return;
@@ -25,9 +38,7 @@
   }
   const bool isConnected = server != nullptr && server->born == call.born;
   const bool isReached = isConnected && isReachable(term, server);
-  if (call.isSent && !call.isReported && !call.arrivedAt && now >= call.arrivesAt && isReached) {
-    onArrived(call, *server);
-  }
+  receive(term, call, isConnected ? server : nullptr);
   if (call.appliesAt && !call.isApplied && now >= *call.appliesAt) {
     call.isApplied = true;
     if (isConnected && server->isUp) {
@@ -44,12 +55,39 @@
   }
 }
 
+bool OwnershipCoordinators::advanceOpening(const Term& term,
+                                           GrantCall& call,
+                                           const ModelServer* server)
+{
+  const base::TimePoint now = play_.clock.now();
+  if (call.isConnectionAnswered || play_.fault == DeliberateFault::GrantsOnUnreadConnections) {
+    return true;
+  }
+  if (!isReachable(term, server) || (!server->isUp && !server->isReplaced)) {
+    return false;
+  }
+  if (!call.opening) {
+    call.born = server->born;
+    const bool isFast = play_.extra.probably(0.9);
+    call.opening = { now + (isFast ? kModelStep : play_.extra.between(0.02, 4)), {} };
+  }
+  if (server->born != call.born || now < call.opening->arrivesAt) {
+    return false;
+  }
+  if (!call.opening->readAt) {
+    call.opening->readAt = readTime(*server);
+  }
+  call.isConnectionAnswered = now >= *call.opening->readAt && now >= server->losesAnswersUntil;
+  return call.isConnectionAnswered;
+}
+
 void OwnershipCoordinators::send(Term& term, GrantCall& call, ModelServer* server)
 {
   const base::TimePoint now = play_.clock.now();
   const bool accepts = server != nullptr && (server->isUp || server->isReplaced);
   // A kept connection takes the call although a cut holds it up.
-  const bool connects = accepts && (isReachable(term, server) || play_.extra.probably(0.5));
+  const bool connects = accepts && (isReachable(term, server) ||
+                                    (call.isConnectionAnswered && play_.extra.probably(0.5)));
   if (!term.coordinator || !connects || !term.coordinator->maySend(call.order, now)) {
     report(term, call, GrantAnswer::NotSent);
     return;
@@ -60,6 +98,23 @@
   call.arrivesAt = now + (play_.basic.probably(0.9) ? kModelStep : play_.basic.between(0.02, 4));
 }
 
+// `server` is null if the process that the connection led to has ended.
+void OwnershipCoordinators::receive(const Term& term, GrantCall& call, ModelServer* server)
+{
+  const base::TimePoint now = play_.clock.now();
+  call.isUnread = call.isUnread && server != nullptr;
+  // A call that is given up on its way is lost.
+  const bool isOnItsWay = call.isSent && !call.isReported && !call.readAt;
+  if (isOnItsWay && now >= call.arrivesAt && isReachable(term, server)) {
+    call.readAt = call.isConnectionAnswered ? now : readTime(*server);
+    call.isUnread = true;
+  }
+  if (call.isUnread && now >= *call.readAt) {
+    call.isUnread = false;
+    onArrived(call, *server);
+  }
+}
+
 void OwnershipCoordinators::onArrived(GrantCall& call, ModelServer& server)
 {
   const base::TimePoint now = play_.clock.now();
@@ -142,14 +197,12 @@
 {
   const base::TimePoint now = play_.clock.now();
   ModelServer* const server = servers_.at(call.order.server);
-  const bool isConnected =
-    isReachable(term, server) && server->born == call.born && (server->isUp || server->isReplaced);
-  const bool isServed = isConnected && now >= call.arrivesAt && now >= server->pausedUntil;
-  if (isServed && !call.isApplied && !server->isReplaced) {
-    call.isApplied = true;
-    call.isAnsweredAtOnce = play_.draws(OwnershipDraw::SecondReleaseAtOnce) &&
-                            !servers_.holdsAny(*server, call.order.from, call.order.to);
-    servers_.applyRelease(*server, call.order);
+  const bool isServerThere =
+    server != nullptr && server->born == call.born && (server->isUp || server->isReplaced);
+  const bool isConnected = isServerThere && isReachable(term, server);
+  receive(term, call, isServerThere ? server : nullptr);
+  if (call.isReported) {
+    return;
   }
   if (now < term.stalledUntil || !term.coordinator) {
     call.isReported = !term.coordinator;
@@ -166,6 +219,30 @@
   term.coordinator->onReleaseAnswered(call.order, answer.value_or(ReleaseAnswer()), now);
 }
 
+// `server` is null if the process that the connection led to has ended.
+void OwnershipCoordinators::receive(const Term& term, ReleaseCall& call, ModelServer* server)
+{
+  const base::TimePoint now = play_.clock.now();
+  call.isUnread = call.isUnread && server != nullptr;
+  if (server == nullptr || server->isReplaced || call.isApplied) {
+    return;
+  }
+  const bool arrives = !call.isReported && now >= call.arrivesAt && isReachable(term, server);
+  if (arrives && !call.readAt && now < server->busyUntil) {
+    call.readAt = readTime(*server);
+    call.isUnread = true;
+  }
+  const bool isRead = call.readAt ? now >= *call.readAt : arrives;
+  if (!isRead || now < server->pausedUntil) {
+    return;
+  }
+  call.isUnread = false;
+  call.isApplied = true;
+  call.isAnsweredAtOnce = play_.draws(OwnershipDraw::SecondReleaseAtOnce) &&
+                          !servers_.holdsAny(*server, call.order.from, call.order.to);
+  servers_.applyRelease(*server, call.order);
+}
+
 // Returns the answer to a release that the coordinator has got; nothing if there is none yet.
 // `server` is null if there is no connection to it.
 std::optional<ReleaseAnswer> OwnershipCoordinators::answerOf(const ReleaseCall& call,
--- a/libs/dispatch/tests/OwnershipCoordinators.cpp
+++ b/libs/dispatch/tests/OwnershipCoordinators.cpp
@@ -281,9 +281,10 @@
       advance(term, call);
     }
     std::erase_if(term.grants, [](const GrantCall& call) {
-      return call.isReported && (call.isApplied || !call.appliesAt);
+      return call.isReported && !call.isUnread && (call.isApplied || !call.appliesAt);
     });
-    std::erase_if(term.releases, [](const ReleaseCall& call) { return call.isReported; });
+    std::erase_if(term.releases,
+                  [](const ReleaseCall& call) { return call.isReported && !call.isUnread; });
   }
   terms_.remove_if([this](const Term& term) {
     return &term != &terms_.back() && term.hasBegun && !term.coordinator && term.grants.empty() &&
@@ -333,6 +334,7 @@
     const bool isOutdated = play_.fault == DeliberateFault::FenceNotRaised && order.fence > 2;
     call.fence = isOutdated ? order.fence - 2 : order.fence;
     call.connectsAt = now + (draws.probably(0.9) ? kModelStep : draws.between(0.02, 0.6));
+    call.isConnectionAnswered = !play_.draws(OwnershipDraw::LateRead) || play_.extra.probably(0.5);
     term.grants.push_back(call);
   }
   for (const ReleaseOrder& order : actions.releases) {
--- a/libs/dispatch/tests/OwnershipCoordinators.h
+++ b/libs/dispatch/tests/OwnershipCoordinators.h
@@ -26,6 +26,7 @@
   std::optional<std::size_t> unownedRanges() const;
 
 private:
+  struct OpeningCall;
   struct GrantCall;
   struct ReleaseCall;
   struct Term;
@@ -70,12 +71,20 @@
   void beginWrite(Term& term);
 
   bool isReachable(const Term& term, const ModelServer* server) const;
+  // Returns the time at which a server reads a new connection on which a call arrives now.
+  base::TimePoint readTime(const ModelServer& server);
   void advance(Term& term, GrantCall& call);
+  // Advances the opening call of a new connection. Returns whether a grant may be written to the
+  // connection.
+  bool advanceOpening(const Term& term, GrantCall& call, const ModelServer* server);
   void send(Term& term, GrantCall& call, ModelServer* server);
+  // The call moves from the network to the server's socket and is read there.
+  void receive(const Term& term, GrantCall& call, ModelServer* server);
   void onArrived(GrantCall& call, ModelServer& server);
   void answerFromEarlierCall(GrantCall& call);
   void report(Term& term, GrantCall& call, GrantAnswer answer);
   void advance(Term& term, ReleaseCall& call);
+  void receive(const Term& term, ReleaseCall& call, ModelServer* server);
   std::optional<ReleaseAnswer> answerOf(const ReleaseCall& call, const ModelServer* server) const;
 
   OwnershipPlay& play_;
--- a/libs/dispatch/tests/OwnershipDraws.h
+++ b/libs/dispatch/tests/OwnershipDraws.h
@@ -48,7 +48,10 @@
   // A cut separates a coordinator and some servers from its successor and the others.
   Cut,
   // The store comes back from a copy that is 0.1 to 10 s old, and gives revisions out again.
-  RestoredStore
+  RestoredStore,
+  // Servers are busy for up to 3 s and read new connections late, also calls that were given up
+  // meanwhile.
+  LateRead
 };
 
 using OwnershipDraws = std::set<OwnershipDraw>;
@@ -75,6 +78,7 @@
     { OwnershipDraw::LateWrite, "late-write" },
     { OwnershipDraw::Cut, "cut" },
     { OwnershipDraw::RestoredStore, "restored-store" },
+    { OwnershipDraw::LateRead, "late-read" },
   };
   return draws;
 }
@@ -122,7 +126,10 @@
   // A takeover after a restoration relies on the owners that the record names.
   RestoredRecordTrusted,
   // A former coordinator goes on after a restoration, however long ago the store confirmed it.
-  ContinuedWithoutConfirmation
+  ContinuedWithoutConfirmation,
+  // Grants are written to new connections at once, without an opening call that the server has to
+  // answer first.
+  GrantsOnUnreadConnections
 };
 
 // Random draws that follow from a seed.
--- a/libs/dispatch/tests/OwnershipSeedTest.cpp
+++ b/libs/dispatch/tests/OwnershipSeedTest.cpp
@@ -77,7 +77,9 @@
   OwnershipDraws draws;
   const char* const text = std::getenv("OWNERSHIP_DRAWS");
   if (text == nullptr) {
-    const OwnershipDraws allowed = allowedOwnershipDraws();
+    OwnershipDraws allowed = allowedOwnershipDraws();
+    // The kinds of a seed stay what they were before this one was added. It has runs of its own.
+    allowed.erase(OwnershipDraw::LateRead);
     RandomDraws random(seed);
     for (unsigned i = 0; i < 3; ++i) {
       draws.insert(
@@ -220,6 +222,25 @@
   playKind(OwnershipDraw::RestoredStore);
 }
 
+TEST_CASE("no key has two owners when busy servers read new connections late")
+{
+  playKind(OwnershipDraw::LateRead);
+  playSeeds(
+    "late-read and cut",
+    [](std::uint64_t) {
+      return OwnershipDraws{ OwnershipDraw::LateRead, OwnershipDraw::Cut };
+    },
+    kSeedsPerKind);
+  playSeeds(
+    "late-read and several kinds",
+    [](std::uint64_t seed) {
+      OwnershipDraws kinds = drawsFor(seed);
+      kinds.insert(OwnershipDraw::LateRead);
+      return kinds;
+    },
+    kSeedsPerKind);
+}
+
 TEST_CASE("no key has two owners when several kinds of events come together")
 {
   playSeeds("several kinds", drawsFor, kBasicSeeds);
@@ -264,4 +285,7 @@
   isSeen("copied answer accepted",
          DeliberateFault::CopiedAnswerAccepted,
          { OwnershipDraw::CopiedGrantAnswer });
+  isSeen("grants on unread connections",
+         DeliberateFault::GrantsOnUnreadConnections,
+         { OwnershipDraw::LateRead, OwnershipDraw::Cut });
 }
--- a/libs/dispatch/tests/OwnershipServers.cpp
+++ b/libs/dispatch/tests/OwnershipServers.cpp
@@ -101,6 +101,9 @@
       play_.extra.chance(0.05)) {
     startLaterLife(server);
   }
+  if (play_.draws(OwnershipDraw::LateRead) && server.isUp && play_.extra.chance(0.15)) {
+    server.busyUntil = now + play_.extra.between(0.1, 3);
+  }
 }
 
 void OwnershipServers::changeDraining()
--- a/libs/dispatch/tests/OwnershipServers.h
+++ b/libs/dispatch/tests/OwnershipServers.h
@@ -47,6 +47,8 @@
   bool isBehindCut = false;
   base::TimePoint pausedUntil{};
   base::TimePoint losesAnswersUntil{};
+  // It reads new connections late up to this time.
+  base::TimePoint busyUntil{};
   std::optional<base::TimePoint> startsAgainAt;
   // End of a life that still runs although a later one has started at another address.
   std::optional<base::TimePoint> endsAt;
--- a/libs/dispatch/tests/OwnershipTerm.h
+++ b/libs/dispatch/tests/OwnershipTerm.h
@@ -8,6 +8,13 @@
 
 namespace sycamore::dispatch {
 
+// Call without effect that goes first on a new connection.
+struct OwnershipCoordinators::OpeningCall
+{
+  base::TimePoint arrivesAt;
+  std::optional<base::TimePoint> readAt;
+};
+
 struct OwnershipCoordinators::GrantCall
 {
   GrantOrder order;
@@ -16,9 +23,16 @@
   base::TimePoint connectsAt;
   // Start of the process that the connection leads to.
   std::int64_t born = 0;
+  // The server has answered an earlier call on the connection, so that it reads the next one when
+  // that arrives.
+  bool isConnectionAnswered = true;
+  std::optional<OpeningCall> opening;
   bool isSent = false;
   base::TimePoint sentAt{};
   base::TimePoint arrivesAt{};
+  // Time at which the server reads the call from its socket, also if it was given up meanwhile.
+  std::optional<base::TimePoint> readAt;
+  bool isUnread = false;
   std::optional<base::TimePoint> arrivedAt;
   std::optional<base::TimePoint> appliesAt;
   bool isApplied = false;
@@ -33,6 +47,9 @@
   base::TimePoint givenUpAt;
   base::TimePoint arrivesAt;
   std::int64_t born = 0;
+  // Time at which a busy server reads the call from its socket, also if it was given up meanwhile.
+  std::optional<base::TimePoint> readAt;
+  bool isUnread = false;
   bool isApplied = false;
   // The server had nothing left to stop and answers although it still works on the keys.
   bool isAnsweredAtOnce = false;
