Add large fleets and late handling to the ownership model

Cause: the model had 4 to 7 servers, and its coordinators handled each answer and timeout at once or not at all. Change: kind "late-handling": a coordinator handles answers of servers and of the store, and timeouts, up to 1 s late. Kind "large-fleet": 72 to 96 servers, with fewer events each; keys are hot for seconds at a time, are spread over many servers and merged again. The suite plays each of them alone, and two deliberate faults in a large fleet.

--- a/libs/dispatch/tests/OwnershipCoordinators.h
+++ b/libs/dispatch/tests/OwnershipCoordinators.h
@@ -29,6 +29,7 @@
   struct OpeningCall;
   struct GrantCall;
   struct ReleaseCall;
+  struct WriteAnswer;
   struct Term;
   struct LateTakeover;
   struct StopReport;
@@ -66,8 +67,10 @@
   void deliverReports();
   void takeUpLateTakeovers();
   void tick(Term& term);
+  void handleConfirmations(Term& term);
   void recordBusyKeys(Term& term);
   void endWrite(Term& term);
+  void handleWriteAnswer(Term& term);
   void beginWrite(Term& term);
 
   bool isReachable(const Term& term, const ModelServer* server) const;
@@ -106,6 +109,8 @@
   // Process that has ended its term and takes over again.
   std::optional<Coordinator> beginsAgain_;
   std::uint64_t nextRun_ = 1;
+  // First of the buckets of keys that are hot in a large fleet.
+  std::size_t hotBucket_ = 0;
 };
 
 } // namespace sycamore::dispatch
--- a/libs/dispatch/tests/OwnershipServers.h
+++ b/libs/dispatch/tests/OwnershipServers.h
@@ -91,6 +91,7 @@
   bool holdsAny(const ModelServer& server, KeyNumber from, KeyNumber to) const;
 
 private:
+  bool isLargeFleet() const { return play_.draws(OwnershipDraw::LargeFleet); }
   void add();
   void disturb(ModelServer& server);
   void startAgain(ModelServer& server);
--- a/libs/dispatch/tests/OwnershipTakeovers.cpp
+++ b/libs/dispatch/tests/OwnershipTakeovers.cpp
@@ -71,6 +71,13 @@
   if (play_.draws(OwnershipDraw::RestoredStore) && draws.chance(0.1)) {
     store_.restore(now - draws.between(0.1, 10));
   }
+  if (play_.draws(OwnershipDraw::LateHandling)) {
+    for (Term& term : terms_) {
+      if (draws.chance(0.5)) {
+        term.handlingDelay = draws.between(0, 1);
+      }
+    }
+  }
   if (takeoverInCutAt_ && now >= *takeoverInCutAt_) {
     takeoverInCutAt_.reset();
     takeOver(otherVm(), End::GoesOn, base::Duration::zero());
--- a/libs/dispatch/tests/OwnershipTerm.h
+++ b/libs/dispatch/tests/OwnershipTerm.h
@@ -55,9 +55,20 @@
   bool isAnsweredAtOnce = false;
   // An answer to an earlier call arrives on the connection before the release does.
   bool getsForeignAnswer = false;
+  // How the call has ended, and when; empty while it is open.
+  std::optional<ReleaseAnswer> answer;
+  base::TimePoint endedAt{};
   bool isReported = false;
 };
 
+// Answer of the store to a write of the record.
+struct OwnershipCoordinators::WriteAnswer
+{
+  base::TimePoint at;
+  bool isWritten = false;
+  std::uint64_t revision = 0;
+};
+
 // The time from a takeover of a process until it stops being the coordinator, and the calls that it
 // makes. A former coordinator may go on until the store's confirmation runs out.
 struct OwnershipCoordinators::Term
@@ -80,6 +91,12 @@
   base::TimePoint storeCutUntil{};
   bool isBehindCut = false;
   std::optional<base::TimePoint> writeEndsAt;
+  std::optional<WriteAnswer> writeAnswer;
+  // Time for which answers and timeouts wait until they are handled.
+  base::Duration handlingDelay{};
+  // Times of the calls by whose answers the store has confirmed the coordinator, as far as these
+  // aren't handled yet.
+  std::vector<base::TimePoint> confirmations;
 };
 
 // A takeover whose write takes effect late and gets no answer. The process reads the record again
