--- a/libs/dispatch/tests/OwnershipCoordinators.h
+++ b/libs/dispatch/tests/OwnershipCoordinators.h
@@ -26,8 +26,10 @@
   std::optional<std::size_t> unownedRanges() const;
 
 private:
+  struct OpeningCall;
   struct GrantCall;
   struct ReleaseCall;
+  struct WriteAnswer;
   struct Term;
   struct LateTakeover;
   struct StopReport;
@@ -65,17 +67,27 @@
   void deliverReports();
   void takeUpLateTakeovers();
   void tick(Term& term);
+  void handleConfirmations(Term& term);
   void recordBusyKeys(Term& term);
   void endWrite(Term& term);
+  void handleWriteAnswer(Term& term);
   void beginWrite(Term& term);
 
   bool isReachable(const Term& term, const ModelServer* server) const;
+  // Returns the time at which a server reads a new connection on which a call arrives now.
+  base::TimePoint readTime(const ModelServer& server);
   void advance(Term& term, GrantCall& call);
+  // Advances the opening call of a new connection. Returns whether a grant may be written to the
+  // connection.
+  bool advanceOpening(const Term& term, GrantCall& call, const ModelServer* server);
   void send(Term& term, GrantCall& call, ModelServer* server);
+  // The call moves from the network to the server's socket and is read there.
+  void receive(const Term& term, GrantCall& call, ModelServer* server);
   void onArrived(GrantCall& call, ModelServer& server);
   void answerFromEarlierCall(GrantCall& call);
   void report(Term& term, GrantCall& call, GrantAnswer answer);
   void advance(Term& term, ReleaseCall& call);
+  void receive(const Term& term, ReleaseCall& call, ModelServer* server);
   std::optional<ReleaseAnswer> answerOf(const ReleaseCall& call, const ModelServer* server) const;
 
   OwnershipPlay& play_;
@@ -97,6 +109,8 @@
   // Process that has ended its term and takes over again.
   std::optional<Coordinator> beginsAgain_;
   std::uint64_t nextRun_ = 1;
+  // First of the buckets of keys that are hot in a large fleet.
+  std::size_t hotBucket_ = 0;
 };
 
 } // namespace sycamore::dispatch
--- a/libs/dispatch/tests/OwnershipTerm.h
+++ b/libs/dispatch/tests/OwnershipTerm.h
@@ -8,6 +8,13 @@
 
 namespace sycamore::dispatch {
 
+// Call without effect that goes first on a new connection.
+struct OwnershipCoordinators::OpeningCall
+{
+  base::TimePoint arrivesAt;
+  std::optional<base::TimePoint> readAt;
+};
+
 struct OwnershipCoordinators::GrantCall
 {
   GrantOrder order;
@@ -16,9 +23,16 @@
   base::TimePoint connectsAt;
   // Start of the process that the connection leads to.
   std::int64_t born = 0;
+  // The server has answered an earlier call on the connection, so that it reads the next one when
+  // that arrives.
+  bool isConnectionAnswered = true;
+  std::optional<OpeningCall> opening;
   bool isSent = false;
   base::TimePoint sentAt{};
   base::TimePoint arrivesAt{};
+  // Time at which the server reads the call from its socket, also if it was given up meanwhile.
+  std::optional<base::TimePoint> readAt;
+  bool isUnread = false;
   std::optional<base::TimePoint> arrivedAt;
   std::optional<base::TimePoint> appliesAt;
   bool isApplied = false;
@@ -33,14 +47,28 @@
   base::TimePoint givenUpAt;
   base::TimePoint arrivesAt;
   std::int64_t born = 0;
+  // Time at which a busy server reads the call from its socket, also if it was given up meanwhile.
+  std::optional<base::TimePoint> readAt;
+  bool isUnread = false;
   bool isApplied = false;
   // The server had nothing left to stop and answers although it still works on the keys.
   bool isAnsweredAtOnce = false;
   // An answer to an earlier call arrives on the connection before the release does.
   bool getsForeignAnswer = false;
+  // How the call has ended, and when; empty while it is open.
+  std::optional<ReleaseAnswer> answer;
+  base::TimePoint endedAt{};
   bool isReported = false;
 };
 
+// Answer of the store to a write of the record.
+struct OwnershipCoordinators::WriteAnswer
+{
+  base::TimePoint at;
+  bool isWritten = false;
+  std::uint64_t revision = 0;
+};
+
 // The time from a takeover of a process until it stops being the coordinator, and the calls that it
 // makes. A former coordinator may go on until the store's confirmation runs out.
 struct OwnershipCoordinators::Term
@@ -63,6 +91,12 @@
   base::TimePoint storeCutUntil{};
   bool isBehindCut = false;
   std::optional<base::TimePoint> writeEndsAt;
+  std::optional<WriteAnswer> writeAnswer;
+  // Time for which answers and timeouts wait until they are handled.
+  base::Duration handlingDelay{};
+  // Times of the calls by whose answers the store has confirmed the coordinator, as far as these
+  // aren't handled yet.
+  std::vector<base::TimePoint> confirmations;
 };
 
 // A takeover whose write takes effect late and gets no answer. The process reads the record again
