Give a grant its whole time after it was written, and serve servers that close connections soon

Cause: the timeout counted from the start of the wait; an opened connection went through the pool of idle ones; an opening's end was booked on whatever call waited. Change: the timeout counts anew from the writing, which must still come within 0.3 s of the order; the opened connection goes to the call that waits; a server that answers but ends the connection counts as answering (ConnectionEnded); openings that time out end no call; calls that must not be sent any more take no connection; a server that has accepted an opening call is asked again after 5 s. Left, by reading: a killed process's kernel sends what was written until the other side has it.

--- a/libs/dispatch/include/dispatch/CoordinatorActions.h
+++ b/libs/dispatch/include/dispatch/CoordinatorActions.h
@@ -112,6 +112,8 @@
   OtherServer,
   // No connection: the server hasn't received the grant.
   NotSent,
+  // Not sent either, though the server answers: it ended the connection before.
+  ConnectionEnded,
   // Sent, but without a readable answer: the grant may take effect.
   OutcomeUnknown
 };
--- a/libs/dispatch/src/KeyCoordinator.cpp
+++ b/libs/dispatch/src/KeyCoordinator.cpp
@@ -170,7 +170,7 @@
   const std::string incarnation = incarnationOf(order.server.id, order.server.born);
   GrantLedger& grants = incarnations_.grantsTo(incarnation);
   const base::TimePoint expiresAt = now + grantDurationBound();
-  if (answer == GrantAnswer::NotSent) {
+  if (answer == GrantAnswer::NotSent || answer == GrantAnswer::ConnectionEnded) {
     grants.onCallNotSent(order.from, order.to, order.fence);
   } else if (answer == GrantAnswer::OutcomeUnknown) {
     grants.onCallUnanswered(order.from, order.to, order.fence, expiresAt);
--- a/libs/entry/include/entry/CallClient.h
+++ b/libs/entry/include/entry/CallClient.h
@@ -34,7 +34,7 @@
   // no ids.
   std::string requestId;
   // Time for which the call may go without an answer or, if `maxDuration` is longer, without a
-  // further byte of it.
+  // further byte of it. It counts anew when a call with an opening has got its connection.
   base::Duration timeout{};
   // Time that a new connection may take to be established; zero means the timeout.
   base::Duration connectTimeout{};
@@ -112,9 +112,13 @@
                    const std::shared_ptr<ServerConnection>& connection,
                    base::Duration timeout);
   void onOpened(Opening& opening, ExchangeResult result);
-  void onNotOpened(Destination& destination);
+  void onNotOpened(Destination& destination, ExchangeResult result);
+  void useOpened(Destination& destination, const std::shared_ptr<ServerConnection>& connection);
   // Starts calls that wait on the connections that have become idle.
   void serveWaiting(Destination& destination);
+  void dropExpired(Destination& destination);
+  // Starts the call that has waited longest.
+  void startWaiting(Destination& destination, const std::shared_ptr<ServerConnection>& connection);
   // Waits until the call has made no progress for its timeout, or has taken too long.
   void awaitTimeout(const std::shared_ptr<Pending>& pending);
   void onTimeout(Pending& pending);
--- a/libs/entry/include/entry/ServerConnection.h
+++ b/libs/entry/include/entry/ServerConnection.h
@@ -36,6 +36,7 @@
 struct ExchangeResult
 {
   ExchangeEnd end = ExchangeEnd::NotSent;
+  // If the request wasn't sent, the answer to the call that was to open its connection, if any.
   ServerAnswer answer;
   // Whether the connection can carry another request, and whether it had carried one before.
   bool reusable = false;
--- a/libs/entry/src/CallClient.cpp
+++ b/libs/entry/src/CallClient.cpp
@@ -16,6 +16,9 @@
 constexpr base::Duration kOpeningTimeout = base::milliseconds(2000);
 // The same for a connection on which it has answered another call, and which it therefore reads.
 constexpr base::Duration kSeparationTimeout = base::milliseconds(300);
+// Time after which a server that has accepted an opening call is asked again: another process may
+// have its address.
+constexpr base::Duration kDirectCallsDuration = base::milliseconds(5000);
 // Maximum number of connections that are being opened to one address beyond the number of calls
 // that wait for them.
 constexpr std::size_t kMaxSpareOpenings = 2;
@@ -100,8 +103,11 @@
   std::size_t separations = 0;
   // Bytes of opening calls that aren't yet part of a call's result.
   std::size_t openingBytes = 0;
-  // Whether the server answers opening calls unlike those that it accepts.
-  bool tellsOpenings = true;
+  // Time until which calls are written to new connections at once, since the server has accepted an
+  // opening call.
+  base::TimePoint opensNothingUntil{};
+
+  bool needsOpenings(base::TimePoint now) const { return now >= opensNothingUntil; }
 };
 
 CallClient::CallClient(asio::io_context& context, const BufferQuota& quota)
@@ -128,7 +134,7 @@
   const Call& begun = pending->call;
   if (connection) {
     start(pending, connection);
-  } else if (begun.opening && !begun.needsNewConnection && destination.tellsOpenings) {
+  } else if (begun.opening && !begun.needsNewConnection && destination.needsOpenings(now)) {
     destination.waiting.push_back(pending);
     openConnection(begun);
   } else {
@@ -179,7 +185,7 @@
 // A copy of the answer comes where the next one is expected. There it has to be told from it.
 void CallClient::separate(const Pending& pending, const Destination& destination)
 {
-  if (pending.call.opening && destination.tellsOpenings) {
+  if (pending.call.opening && destination.needsOpenings(clockNow())) {
     pending.connection->acceptUnidentifiedAnswers();
     sendOpening(pending.call, pending.connection, kSeparationTimeout);
   } else {
@@ -209,7 +215,9 @@
   opening->timer.async_wait([this, opening](const error_code& error) {
     if (!error && !opening->isEnded) {
       opening->connection->abandon();
-      onOpened(*opening, {});
+      ExchangeResult result;
+      result.timedOut = true;
+      onOpened(*opening, std::move(result));
     }
   });
   const std::string id = call.requestId.empty() ? "" : call.requestId + "-opening";
@@ -233,8 +241,7 @@
   const bool isToldApart = result.isIdentified || (status != 0 && !isSuccess(status));
   if (result.reusable && isToldApart) {
     opening.connection->acceptUnidentifiedAnswers();
-    destination.idle.put(opening.connection);
-    serveWaiting(destination);
+    useOpened(destination, opening.connection);
     return;
   }
   if (result.reusable) {
@@ -244,40 +251,80 @@
     if (!destination.waiting.empty()) {
       openConnection(destination.waiting.front()->call);
     }
-  } else {
-    destination.tellsOpenings = destination.tellsOpenings && (isToldApart || !isSuccess(status));
-    onNotOpened(destination);
+    return;
+  }
+  if (result.reusable) {
+    destination.opensNothingUntil = clockNow() + kDirectCallsDuration;
+  }
+  if (!result.timedOut) {
+    onNotOpened(destination, std::move(result));
   }
 }
 
+// The first call is written at once, even if the server closes idle connections soon.
+void CallClient::useOpened(Destination& destination,
+                           const std::shared_ptr<ServerConnection>& connection)
+{
+  dropExpired(destination);
+  if (destination.waiting.empty()) {
+    destination.idle.put(connection);
+    return;
+  }
+  startWaiting(destination, connection);
+}
+
 // Ends the call that has waited longest, since no connection could be opened for it.
-void CallClient::onNotOpened(Destination& destination)
+void CallClient::onNotOpened(Destination& destination, ExchangeResult result)
 {
   if (destination.waiting.empty()) {
     return;
   }
+  if (!destination.needsOpenings(clockNow())) {
+    startWaiting(destination, newConnection(destination.waiting.front()->call.endpoint));
+    return;
+  }
   const std::shared_ptr<Pending> pending = destination.waiting.front();
   destination.waiting.pop_front();
-  if (destination.tellsOpenings) {
-    finish(*pending, {});
-  } else {
-    start(pending, newConnection(pending->call.endpoint));
-  }
+  result.end = ExchangeEnd::NotSent;
+  finish(*pending, std::move(result));
 }
 
 void CallClient::serveWaiting(Destination& destination)
 {
-  while (!destination.waiting.empty()) {
+  for (dropExpired(destination); !destination.waiting.empty(); dropExpired(destination)) {
     const auto connection = destination.idle.take(clockNow());
     if (!connection) {
       return;
     }
+    startWaiting(destination, connection);
+  }
+}
+
+// Ends the first calls as long as they must not be sent any more, which would cost a connection.
+void CallClient::dropExpired(Destination& destination)
+{
+  while (!destination.waiting.empty()) {
     const std::shared_ptr<Pending> pending = destination.waiting.front();
+    if (!pending->call.maySend || pending->call.maySend()) {
+      return;
+    }
     destination.waiting.pop_front();
-    start(pending, connection);
+    finish(*pending, {});
   }
 }
 
+// The call has its whole timeout from now on, so that it isn't given up right after it was written.
+void CallClient::startWaiting(Destination& destination,
+                              const std::shared_ptr<ServerConnection>& connection)
+{
+  const std::shared_ptr<Pending> pending = destination.waiting.front();
+  destination.waiting.pop_front();
+  pending->begunAt = clockNow();
+  pending->endsAt = pending->begunAt + std::max(pending->call.timeout, pending->call.maxDuration);
+  awaitTimeout(pending);
+  start(pending, connection);
+}
+
 void CallClient::finish(Pending& pending, ExchangeResult result)
 {
   pending.timer.cancel();
--- a/libs/entry/src/CoordinatorRole.cpp
+++ b/libs/entry/src/CoordinatorRole.cpp
@@ -433,7 +433,7 @@
       const bool isForeign =
         result.end == ExchangeEnd::Answered && answer == dispatch::GrantAnswer::OutcomeUnknown;
       if (isAmbiguous || isForeign) {
-        // The next call gets a new connection, where the answer is certain to be its own.
+        // What is wrong with one connection may be wrong with the others.
         calls_.closeIdle(endpointOf(order.server));
       }
       if (answer == dispatch::GrantAnswer::OtherServer) {
--- a/libs/entry/src/OwnershipAnswers.cpp
+++ b/libs/entry/src/OwnershipAnswers.cpp
@@ -7,7 +7,8 @@
 dispatch::GrantAnswer grantAnswerOf(const ExchangeResult& result)
 {
   if (result.end == ExchangeEnd::NotSent) {
-    return dispatch::GrantAnswer::NotSent;
+    return result.answer.status != 0 ? dispatch::GrantAnswer::ConnectionEnded
+                                     : dispatch::GrantAnswer::NotSent;
   }
   if (result.end != ExchangeEnd::Answered) {
     return dispatch::GrantAnswer::OutcomeUnknown;
--- a/libs/entry/tests/CoordinatorRoleTest.cpp
+++ b/libs/entry/tests/CoordinatorRoleTest.cpp
@@ -301,6 +301,7 @@
     return request.find(R"("fence":3)") != std::string::npos;
   }));
   role.runUntil([&] { return server.requests().size() > 1; });
+  REQUIRE(server.requests().size() > 1);
   CHECK(server.requests().back().find(R"("fence":3)") != std::string::npos);
 }
 
--- a/libs/entry/tests/OwnershipAnswersTest.cpp
+++ b/libs/entry/tests/OwnershipAnswersTest.cpp
@@ -22,9 +22,13 @@
 class Calls
 {
 public:
-  explicit Calls(std::vector<std::string> answers)
-    : server_(context_, [answers, next = std::size_t(0)](const std::string&) mutable {
-      return FakeServer::Reaction{ answers.at(next++) };
+  // The first answers come after the given delays.
+  explicit Calls(std::vector<std::string> answers, std::vector<milliseconds> delays = {})
+    : server_(context_, [answers, delays, next = std::size_t(0)](const std::string&) mutable {
+      FakeServer::Reaction reaction{ answers.at(next) };
+      reaction.delay = next < delays.size() ? delays[next] : milliseconds(0);
+      ++next;
+      return reaction;
     })
   {
   }
@@ -129,6 +133,32 @@
   CHECK(calls.server().accepted() == 1);
 }
 
+// Guards against a grant that is given up right after it was written, and arrives after that.
+TEST_CASE("a grant that waited for its connection has its whole time after it was written")
+{
+  Calls calls({ kOtherServer, kAccepted, kOtherServer }, { milliseconds(400), milliseconds(300) });
+  const ExchangeResult result = calls.grant("1");
+  CHECK(grantAnswerOf(result) == GrantAnswer::Accepted);
+}
+
+// Guards against servers that are never granted keys because they close connections soon.
+TEST_CASE("a grant is sent to a server that announces a short idle timeout")
+{
+  const std::string refused =
+    "HTTP/1.1 421 Misdirected\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+  Calls calls({ refused, kAccepted, refused });
+  CHECK(grantAnswerOf(calls.grant("1")) == GrantAnswer::Accepted);
+}
+
+// Guards against taking a server for lost that answers but ends each connection.
+TEST_CASE("a server that ends its connections after the opening call counts as answering")
+{
+  const std::string refused =
+    "HTTP/1.1 421 Misdirected\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  Calls calls({ refused });
+  CHECK(grantAnswerOf(calls.grant("1")) == GrantAnswer::ConnectionEnded);
+}
+
 // Guards against a server that is never granted keys since its answers can't be told apart.
 TEST_CASE("each grant has its own connection at a server that accepts opening calls without an id")
 {
